--- a/config/config.go
+++ b/config/config.go
@@ -186,10 +186,10 @@
 	Quota struct {
 		// LendingLimits holds, by team, how many guaranteed CPUs others may
 		// borrow. A team without an entry lends all that is idle.
-		LendingLimits  map[ids.Team]float64 `json:"lending_limits"`
-		ReclaimHoldS   float64              `json:"reclaim_hold_s"`
-		SliceTasks     int                  `json:"slice_tasks"`
-		PlaceAheadPass int                  `json:"pass_over"`
+		LendingLimits map[ids.Team]float64 `json:"lending_limits"`
+		ReclaimHoldS  float64              `json:"reclaim_hold_s"`
+		SliceTasks    int                  `json:"slice_tasks"`
+		PassOver      int                  `json:"pass_over"`
 	} `json:"quota"`
 	Fleet struct {
 		IdleS        float64 `json:"idle_s"`
