--- a/node/service.go
+++ b/node/service.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		need := quota.Amount{CPUs: s.CPUs, GPUs: s.GPUs}
-		if s.Service {
+		if s.Service || s.Gang {
 			need = need.Times(s.Tasks)
 		}
 		if !need.Within(quota.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}) {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"sort"
 
 	"ospreystile.example/ospreystile/ids"
@@ -56,6 +57,7 @@
 	if len(waiting) == 0 {
 		return
 	}
+	c.countSurplus()
 	full := map[shape]bool{}
 	for _, nominal := range []bool{true, false} {
 		passed := 0
@@ -67,7 +69,7 @@
 			if ok && full[sh] {
 				continue
 			}
-			if noRoom := c.admit(j, nominal); noRoom && ok && !j.spec.Service {
+			if noRoom := c.admit(j, nominal); noRoom && ok && !j.whole() {
 				full[sh] = true
 			}
 			if len(j.pending) > 0 {
@@ -80,6 +82,18 @@
 	c.makeRoom(waiting)
 }
 
+// countSurplus gives the cohort what the machines have beyond the sum of the
+// guarantees: left unused it would serve nobody.
+func (c *Core) countSurplus() {
+	var have quota.Amount
+	for _, m := range c.order {
+		if c.usable(m) {
+			have = have.Plus(quota.Amount{CPUs: m.total.CPUs, GPUs: m.total.GPUs})
+		}
+	}
+	c.book.SetSurplus(have.Minus(c.book.Nominal()))
+}
+
 func (c *Core) fitsQuota(j *job, nominal bool, n int) bool {
 	m := j.amount().Times(n)
 	if nominal {
@@ -88,10 +102,22 @@
 	return c.book.FitsBorrowing(j.spec.Team, m, c.now)
 }
 
+// whole tells whether all waiting tasks of a job must be placed together: a
+// gang's always, a service's when it starts.
+func (j *job) whole() bool { return j.spec.Gang || j.spec.Service && len(j.active) == 0 }
+
 // admit places what fits of a job: a service whole when it starts, an array
 // in slices that fit. noRoom tells that no machine had room.
 func (c *Core) admit(j *job, nominal bool) (noRoom bool) {
-	whole := j.spec.Service && len(j.active) == 0
+	whole := j.whole()
+	if j.spec.Gang && len(j.active) > 0 {
+		// The rest of the gang waits for the tasks that it lost. It starts
+		// again together, so it is stopped whole first.
+		for _, a := range sortedTasks(j.active) {
+			c.stop(a, stopPreempted)
+		}
+		return false
+	}
 	if whole && !c.fitsQuota(j, nominal, len(j.pending)) {
 		return false
 	}
@@ -172,7 +198,8 @@
 // below its guarantee. It stops no more than the waiting work needs, and
 // counts what is already leaving.
 func (c *Core) makeRoom(waiting []*job) {
-	r := &room{c: c, coming: map[*machine]placement.Resources{}, over: map[ids.Team]quota.Amount{}}
+	r := &room{c: c, coming: map[*machine]placement.Resources{}, over: map[ids.Team]quota.Amount{},
+		owed: map[ids.Team]quota.Amount{}, stopped: map[*assignment]bool{}}
 	for _, m := range c.order {
 		if !c.usable(m) || c.now < m.quarantine {
 			continue
@@ -192,94 +219,157 @@
 		for _, a := range j.active {
 			if a.stop != stopNone {
 				r.over[j.spec.Team] = r.over[j.spec.Team].Minus(j.amount())
+				r.owed[j.spec.Team] = r.owed[j.spec.Team].Minus(j.amount())
 			}
 		}
 	}
-	owed := map[ids.Team]quota.Amount{}
 	for _, j := range waiting {
+		if j.whole() {
+			r.makeWhole(j)
+			continue
+		}
 		for range j.pending {
-			m := j.amount()
-			nominal := c.book.FitsNominal(j.spec.Team, owed[j.spec.Team].Plus(m))
-			if !nominal && !(j.spec.Priority > wire.BestEffort && c.book.FitsBorrowing(j.spec.Team, owed[j.spec.Team].Plus(m), c.now)) {
-				break
-			}
-			if !r.make(j, nominal) {
+			victims, ok := r.make(j)
+			if !ok {
 				break
 			}
-			owed[j.spec.Team] = owed[j.spec.Team].Plus(m)
+			r.stop(j, victims)
 		}
 	}
 }
 
 // room is the state of one search for victims.
 type room struct {
-	c      *Core
-	coming map[*machine]placement.Resources
-	over   map[ids.Team]quota.Amount
+	c       *Core
+	coming  map[*machine]placement.Resources // what is free or about to be
+	over    map[ids.Team]quota.Amount        // what teams use beyond their guarantee
+	owed    map[ids.Team]quota.Amount        // quota spoken for, less what is being freed
+	stopped map[*assignment]bool
+}
+
+// makeWhole makes room for all waiting tasks of a job, or for none.
+func (r *room) makeWhole(j *job) {
+	coming, over, owed, stopped := maps.Clone(r.coming), maps.Clone(r.over), maps.Clone(r.owed), maps.Clone(r.stopped)
+	var all []*assignment
+	for range j.pending {
+		victims, ok := r.make(j)
+		if !ok {
+			r.coming, r.over, r.owed, r.stopped = coming, over, owed, stopped
+			return
+		}
+		all = append(all, victims...)
+	}
+	r.stop(j, all)
+}
+
+func (r *room) stop(j *job, victims []*assignment) {
+	for _, a := range victims {
+		if a.job.spec.Team != j.spec.Team {
+			r.c.book.Hold(j.spec.Team, r.c.now.Add(r.c.opt.ReclaimHold))
+		}
+		r.c.stop(a, stopPreempted)
+	}
+}
+
+// claim is by what right a task may have room made for it.
+type claim uint8
+
+const (
+	claimNone    claim = iota
+	claimOwn           // its team is at its limit: only by its own lower work
+	claimBorrow        // by work of lower priority
+	claimNominal       // by that, and by what others borrow
+)
+
+func (r *room) claim(j *job) claim {
+	m := r.owed[j.spec.Team].Plus(j.amount())
+	switch {
+	case r.c.book.FitsNominal(j.spec.Team, m):
+		return claimNominal
+	case r.c.book.FitsBorrowing(j.spec.Team, m, r.c.now):
+		return claimBorrow
+	case j.spec.Priority > wire.BestEffort:
+		return claimOwn
+	}
+	return claimNone
 }
 
-// make finds room for one more task of a job, by stopping tasks if it must.
-func (r *room) make(j *job, nominal bool) bool {
+// make finds room for one more task of a job, and the tasks that must be
+// stopped for it.
+func (r *room) make(j *job) ([]*assignment, bool) {
+	by := r.claim(j)
+	if by == claimNone {
+		return nil, false
+	}
 	need := placement.Of(j.spec)
 	var best *machine
-	var bestVictims []*assignment
+	var victims []*assignment
 	bestCost := 0.0
 	for _, m := range r.c.order {
 		free, ok := r.coming[m]
 		if !ok || !placement.Allowed(j.spec, m.Site) || !j.zones.Admits(j.spec, m.Zone) || j.failedOn[m.host] > 0 {
 			continue
 		}
-		if need.Within(free) {
-			r.coming[m] = free.Minus(need)
-			return true
+		if by != claimOwn && need.Within(free) {
+			best, victims = m, nil
+			break
 		}
 		if !need.Within(m.total) {
 			continue
 		}
-		victims, cost, ok := r.victims(j, m, nominal, need, free)
+		v, cost, ok := r.victims(j, m, by, need, free)
+		if m.images[j.spec.Image] == nil {
+			cost += missingImage
+		}
 		if ok && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = m, victims, cost
+			best, victims, bestCost = m, v, cost
 		}
 	}
 	if best == nil {
-		return false
+		return nil, false
 	}
-	free := r.coming[best]
-	for _, a := range bestVictims {
-		free = free.Plus(placement.Of(a.job.spec))
-		if a.job.spec.Team != j.spec.Team {
-			r.over[a.job.spec.Team] = r.over[a.job.spec.Team].Minus(a.job.amount())
-			r.c.book.Hold(j.spec.Team, r.c.now.Add(r.c.opt.ReclaimHold))
-		}
-		r.c.stop(a, stopPreempted)
+	free, team := r.coming[best], j.spec.Team
+	r.owed[team] = r.owed[team].Plus(j.amount())
+	for _, a := range victims {
+		s := a.job.spec
+		r.stopped[a] = true
+		free = free.Plus(placement.Of(s))
+		r.over[s.Team] = r.over[s.Team].Minus(a.job.amount())
+		r.owed[s.Team] = r.owed[s.Team].Minus(a.job.amount())
 	}
 	r.coming[best] = free.Minus(need)
-	return true
+	return victims, true
 }
 
+// missingImage is what it costs to make room where the image would have to be
+// fetched first.
+const missingImage = 200
+
 // victims picks the tasks on a machine whose end loses least.
-func (r *room) victims(j *job, m *machine, nominal bool, need, free placement.Resources) ([]*assignment, float64, bool) {
+func (r *room) victims(j *job, m *machine, by claim, need, free placement.Resources) ([]*assignment, float64, bool) {
 	type victim struct {
 		a    *assignment
 		cost float64
 	}
 	var list []victim
 	for _, a := range m.sorted() {
-		if a.stop != stopNone {
+		if a.stop != stopNone || r.stopped[a] {
 			continue
 		}
 		v := a.job.spec
-		lower := v.Priority < j.spec.Priority
-		borrowed := nominal && v.Team != j.spec.Team && a.job.amount().Within(r.over[v.Team])
+		lower := v.Priority < j.spec.Priority && (by != claimOwn || v.Team == j.spec.Team)
+		borrowed := by == claimNominal && v.Team != j.spec.Team && a.job.amount().Within(r.over[v.Team])
 		if !lower && !borrowed {
 			continue
 		}
 		list = append(list, victim{a, r.c.lossOf(a)})
 	}
 	sort.SliceStable(list, func(i, k int) bool { return list[i].cost < list[k].cost })
-	over := map[ids.Team]quota.Amount{}
-	for t, o := range r.over {
-		over[t] = o
+	over := maps.Clone(r.over)
+	// With no quota left, the victims must free that as well.
+	short := quota.Amount{}
+	if by == claimOwn {
+		short = j.amount()
 	}
 	var out []*assignment
 	cost := 0.0
@@ -294,7 +384,8 @@
 		out = append(out, v.a)
 		cost += v.cost
 		free = free.Plus(placement.Of(s))
-		if need.Within(free) {
+		short = short.Minus(v.a.job.amount())
+		if need.Within(free) && short.Within(quota.Amount{}) {
 			return out, cost, true
 		}
 	}
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -86,6 +86,9 @@
 	}
 	var all []taken
 	counted := map[*job]int{}
+	// Machines for borrowers may be rented up to the teams' limits.
+	c.book.SetSurplus(quota.Amount{CPUs: math.MaxInt32, GPUs: math.MaxInt32})
+	defer c.countSurplus()
 	waiting := c.waiting()
 	for _, nominal := range []bool{true, false} {
 		for _, j := range waiting {
@@ -98,6 +101,13 @@
 				all = append(all, taken{j.spec.Team, j.amount()})
 				n++
 			}
+			if j.whole() && n < len(j.pending) {
+				for ; n > 0; n-- {
+					last := all[len(all)-1]
+					c.book.Free(last.t, last.m)
+					all = all[:len(all)-1]
+				}
+			}
 			if n > 0 {
 				counted[j] += n
 				p.Add(fleet.Demand{Spec: j.spec, Count: n, Zones: j.zones})
--- a/scheduler/quota/quota.go
+++ b/scheduler/quota/quota.go
@@ -51,6 +51,7 @@
 type Book struct {
 	accounts map[ids.Team]*account
 	names    []ids.Team
+	surplus  Amount
 }
 
 // NewBook opens the books for the teams.
@@ -64,6 +65,19 @@
 	return b
 }
 
+// SetSurplus sets the cohort's own quota, which any team may borrow: what
+// there is beyond the sum of the guarantees.
+func (b *Book) SetSurplus(m Amount) { b.surplus = m.positive() }
+
+// Nominal is the sum of all guarantees.
+func (b *Book) Nominal() Amount {
+	var sum Amount
+	for _, a := range b.accounts {
+		sum = sum.Plus(a.Nominal)
+	}
+	return sum
+}
+
 // Known tells whether a team exists.
 func (b *Book) Known(t ids.Team) bool { return b.accounts[t] != nil }
 
@@ -111,7 +125,8 @@
 	if a == nil || !a.used.Plus(m).Within(a.Limit) {
 		return false
 	}
-	var over, lent Amount
+	var over Amount
+	lent := b.surplus
 	for _, n := range b.names {
 		o := b.accounts[n]
 		used := o.used
--- a/wire/spec.go
+++ b/wire/spec.go
@@ -26,6 +26,7 @@
 	Class     string            `msgpack:"c"`
 	Team      ids.Team          `msgpack:"g"`
 	Service   bool              `msgpack:"s,omitempty"`
+	Gang      bool              `msgpack:"gg,omitempty"`
 	Priority  Priority          `msgpack:"p"`
 	Tasks     int               `msgpack:"n"`
 	CPUs      float64           `msgpack:"u"`
@@ -178,8 +179,10 @@
 	case "batch":
 	case "standing":
 		s.Service = true
+	case "ensemble":
+		s.Gang = true
 	default:
-		f.fail("shape", "must be batch or standing")
+		f.fail("shape", "is not a shape of jobs")
 	}
 	p, ok := priorities[f.text("urgency", 50)]
 	if !ok {
