--- a/node/term.go
+++ b/node/term.go
@@ -78,8 +78,6 @@
 		CapacityBack: ids.Seconds(op.Fleet.CapacityBack),
 		MaxMachines:  op.Fleet.MaxMachines,
 		Impatient:    map[string]time.Duration{},
-		Aims:         map[string][]time.Duration{},
-		DueTimes:     map[string][]float64{},
 	}
 	for _, t := range s.Teams {
 		nominal := quota.Amount{CPUs: t.CPUs, GPUs: t.GPUs}
@@ -92,13 +90,8 @@
 	}
 	for _, a := range s.Objectives {
 		// No machine boots within a few seconds, whatever the catalog says.
-		switch {
-		case a.Kind == "wait" && a.WithinS <= 10:
+		if a.Kind == "wait" && a.WithinS <= 10 {
 			o.Impatient[a.Class] = ids.Seconds(a.WithinS)
-		case a.Kind == "finished":
-			o.Aims[a.Class] = append(o.Aims[a.Class], ids.Seconds(a.WithinS))
-		case a.Kind == "deadline":
-			o.DueTimes[a.Class] = append(o.DueTimes[a.Class], max(a.Times, 1))
 		}
 	}
 	return o
@@ -184,7 +177,6 @@
 	if err != nil {
 		return 0, err
 	}
-	t.core.SetWall(n.clock.Now(), time.Now().UnixMilli())
 	t.core.Begin(n.clock.Now())
 	return since, nil
 }
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -11,14 +11,10 @@
 )
 
 // waiting lists the jobs with tasks to place: by priority, then creation time.
-// Jobs that can meet fewer of their aims any more go after those of the same
-// priority that can meet more: under overload, strict creation time would let
-// every job wait until it is late.
 func (c *Core) waiting() []*job {
 	var out []*job
 	for _, j := range c.jobs {
 		if !j.over() && len(j.pending) > 0 && c.now >= j.retryAt {
-			j.tier = c.lateness(j)
 			out = append(out, j)
 		}
 	}
@@ -27,9 +23,6 @@
 		if a.spec.Priority != b.spec.Priority {
 			return a.spec.Priority > b.spec.Priority
 		}
-		if a.tier != b.tier {
-			return a.tier < b.tier
-		}
 		if a.at != b.at {
 			return a.at < b.at
 		}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -40,12 +40,7 @@
 	PassOver   int
 	// Impatient names the classes whose tasks must start sooner than a
 	// machine boots.
-	Impatient map[string]time.Duration
-	// Aims holds, by class, the times after submission within which jobs
-	// should be finished, ascending; DueTimes the same as multiples of the
-	// job's own deadline.
-	Aims         map[string][]time.Duration
-	DueTimes     map[string][]float64
+	Impatient    map[string]time.Duration
 	ReclaimHold  time.Duration
 	Idle         time.Duration
 	HeadroomIdle time.Duration
@@ -136,7 +131,6 @@
 	retryAt   ids.Instant
 	refreshAt ids.Instant // no change before, the record is being read again
 	backoff   time.Duration
-	tier      int
 	failedOn  map[ids.Host]int
 	succeeded int
 	known     ids.Instant
@@ -164,8 +158,6 @@
 	opt      Options
 	started  ids.Instant
 	now      ids.Instant
-	wallAt   ids.Instant
-	wallMS   int64
 	types    map[ids.MachineType]*wire.MachineType
 	typeList []wire.MachineType
 	jobs     map[ids.JobID]*job // all that are not over, and withdrawn ones with tasks
@@ -189,20 +181,11 @@
 	peaks       map[string]*peak
 	out         Effects
 
-	lost [stopDrained + 2]loss
-
 	// Deposed is set when a worker shows a higher leader's token.
 	deposed bool
 	broken  error
 }
 
-// loss counts tasks that were taken off machines before they were done, and
-// the CPU seconds they had run.
-type loss struct {
-	tasks int
-	cpuS  float64
-}
-
 // Effects are the decisions since the last Step.
 type Effects struct {
 	Changes []ledger.Change
@@ -275,35 +258,6 @@
 	return j
 }
 
-// age is how long ago a job was submitted, by the times of day of the node
-// that took it and of this one.
-func (c *Core) age(j *job) time.Duration {
-	return time.Duration(c.wallMS-j.at)*time.Millisecond + c.now.Sub(c.wallAt)
-}
-
-// SetWall tells the time of day; ages of jobs come from it.
-func (c *Core) SetWall(now ids.Instant, ms int64) { c.wallAt, c.wallMS = now, ms }
-
-// lateness counts the aims that a job can no longer meet, going by its
-// owner's estimate.
-func (c *Core) lateness(j *job) int {
-	end := c.age(j) + ids.Seconds(j.spec.EstimateS)
-	n := 0
-	for _, within := range c.opt.Aims[j.spec.Class] {
-		if end > within {
-			n++
-		}
-	}
-	if j.spec.DeadlineS > 0 {
-		for _, times := range c.opt.DueTimes[j.spec.Class] {
-			if end > ids.Seconds(j.spec.DeadlineS*times) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // LoadJob takes a job's record at the start of the term. Jobs come before
 // slices.
 func (c *Core) LoadJob(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) {
@@ -425,14 +379,6 @@
 // release takes a task that is surely gone off its machine; it waits again if
 // its job goes on.
 func (c *Core) release(a *assignment) {
-	if a.phase == wire.TaskRunning && !a.job.spec.Service {
-		l := &c.lost[a.stop]
-		if a.stop == stopNone {
-			l = &c.lost[len(c.lost)-1]
-		}
-		l.tasks++
-		l.cpuS += c.now.Sub(a.since).Seconds() * a.job.spec.CPUs
-	}
 	c.detach(a)
 	j := a.job
 	if j.over() {
@@ -814,11 +760,6 @@
 		}
 	}
 	fmt.Fprintf(&b, "jobs=%d waiting=%d placed=%d machines=%d usable=%d booting=%d", len(c.jobs), pend, act, len(c.order), up, boot)
-	for i, name := range []string{stopWithdrawn: "withdrawn", stopPreempted: "preempted", stopDrained: "drained", stopDrained + 1: "lost"} {
-		if name != "" {
-			fmt.Fprintf(&b, " %s=%d/%.0f", name, c.lost[i].tasks, c.lost[i].cpuS)
-		}
-	}
 	for _, t := range c.opt.Teams {
 		fmt.Fprintf(&b, " %s=%.0f", t.Name, c.book.Used(t.Name).CPUs)
 	}
