--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -181,11 +181,20 @@
 	peaks       map[string]*peak
 	out         Effects
 
+	lost [stopDrained + 2]loss
+
 	// Deposed is set when a worker shows a higher leader's token.
 	deposed bool
 	broken  error
 }
 
+// loss counts tasks that were taken off machines before they were done, and
+// the CPU seconds they had run.
+type loss struct {
+	tasks int
+	cpuS  float64
+}
+
 // Effects are the decisions since the last Step.
 type Effects struct {
 	Changes []ledger.Change
@@ -379,6 +388,14 @@
 // release takes a task that is surely gone off its machine; it waits again if
 // its job goes on.
 func (c *Core) release(a *assignment) {
+	if a.phase == wire.TaskRunning && !a.job.spec.Service {
+		l := &c.lost[a.stop]
+		if a.stop == stopNone {
+			l = &c.lost[len(c.lost)-1]
+		}
+		l.tasks++
+		l.cpuS += c.now.Sub(a.since).Seconds() * a.job.spec.CPUs
+	}
 	c.detach(a)
 	j := a.job
 	if j.over() {
@@ -760,6 +777,11 @@
 		}
 	}
 	fmt.Fprintf(&b, "jobs=%d waiting=%d placed=%d machines=%d usable=%d booting=%d", len(c.jobs), pend, act, len(c.order), up, boot)
+	for i, name := range []string{stopWithdrawn: "withdrawn", stopPreempted: "preempted", stopDrained: "drained", stopDrained + 1: "lost"} {
+		if name != "" {
+			fmt.Fprintf(&b, " %s=%d/%.0f", name, c.lost[i].tasks, c.lost[i].cpuS)
+		}
+	}
 	for _, t := range c.opt.Teams {
 		fmt.Fprintf(&b, " %s=%.0f", t.Name, c.book.Used(t.Name).CPUs)
 	}
