--- a/config/config.go
+++ b/config/config.go
@@ -193,6 +193,7 @@
 	} `json:"quota"`
 	Fleet struct {
 		IdleS        float64 `json:"idle_s"`
+		SpotIdle     float64 `json:"spot_idle"`
 		HeadroomIdle float64 `json:"headroom_idle_s"`
 		Headroom     float64 `json:"headroom"`
 		BootFactor   float64 `json:"boot_factor"`
--- a/node/term.go
+++ b/node/term.go
@@ -72,6 +72,7 @@
 		PassOver:     op.Quota.PassOver,
 		ReclaimHold:  ids.Seconds(op.Quota.ReclaimHoldS),
 		Idle:         ids.Seconds(op.Fleet.IdleS),
+		SpotIdle:     op.Fleet.SpotIdle,
 		HeadroomIdle: ids.Seconds(op.Fleet.HeadroomIdle),
 		Headroom:     op.Fleet.Headroom,
 		BootFactor:   op.Fleet.BootFactor,
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -185,8 +185,12 @@
 	o := placement.Offer{Site: m.Site, Free: m.free(), Total: m.total,
 		Cached: m.images[j.spec.Image] != nil, SameZone: j.zones[m.Zone],
 		Suspect: j.failedOn[m.host] > 0 || len(m.errors) > 0 && c.now < m.lastError.Add(quarantineFor)}
-	if !o.Cached || j.spec.Service {
+	_, o.Hasty = c.opt.Impatient[j.spec.Class]
+	if !m.Spot || !o.Cached || j.spec.Service {
 		for _, a := range m.tasks {
+			if a.job.spec.Service && a.stop == stopNone {
+				o.Pinned = true
+			}
 			if a.job == j {
 				o.SameJob++
 			}
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -177,7 +177,11 @@
 		if m.returning || !m.reported || len(m.tasks) > 0 || m.strays.CPUs > 0 {
 			continue
 		}
-		if c.now > m.idleSince.Add(idle) || c.now < m.quarantine && c.now > m.idleSince.Add(5*time.Second) {
+		wait := idle
+		if m.Spot {
+			wait = time.Duration(float64(wait) * c.opt.SpotIdle)
+		}
+		if c.now > m.idleSince.Add(wait) || c.now < m.quarantine && c.now > m.idleSince.Add(5*time.Second) {
 			c.giveBack(m)
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -43,6 +43,7 @@
 	Impatient    map[string]time.Duration
 	ReclaimHold  time.Duration
 	Idle         time.Duration
+	SpotIdle     float64 // spot machines may stand idle this many times as long
 	HeadroomIdle time.Duration
 	Headroom     float64
 	BootFactor   float64
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -341,9 +341,15 @@
 						o.SameJob = same
 					}
 					o.Fetching = len(m.tasks) > 0
+					for _, a := range m.tasks {
+						o.Pinned = o.Pinned || a.job.spec.Service
+					}
 					for _, p := range placedAt {
 						o.Fetching = o.Fetching || p == m
 					}
+					for ref, p := range placedAt {
+						o.Pinned = o.Pinned || p == m && c.jobs[ref.Job].spec.Service
+					}
 					if s := placement.Score(j.spec, &o); best == nil || s > bestScore {
 						best, bestScore = m, s
 					}
--- a/scheduler/placement/placement.go
+++ b/scheduler/placement/placement.go
@@ -84,19 +84,30 @@
 	Fetching    bool // the image is on its way
 	SameJob     int  // tasks of the same job on the machine
 	SameZone    int  // tasks of the same job in the zone
+	Pinned      bool // services keep the machine
+	Hasty       bool // the job's class must start within seconds
 	Suspect     bool // the machine failed tasks or runs them slowly
 }
 
-// Score ranks offers for a job; the largest goes first. Image and kind of
-// machine weigh most: a fetch delays a start more than anything else here,
-// and spot work on ordinary machines takes room from work that has no choice.
+// Score ranks offers for a job; the largest goes first. Kind of machine weighs
+// most, since spot work on ordinary machines takes room from work that has no
+// choice, and for classes that must start within seconds the image does.
 func Score(s *wire.Spec, o *Offer) float64 {
 	score := 0.0
+	image := 25.0
+	if o.Hasty {
+		image = 100
+	}
 	switch {
 	case o.Cached:
-		score += 100
+		score += image
 	case o.Fetching:
-		score += 40
+		score += image * 0.4
+	}
+	// A service stays for long. Where one stays already, the next costs
+	// nothing more; elsewhere it keeps a machine from being returned.
+	if o.Pinned && !o.Spot {
+		score += 20
 	}
 	if s.Spot && o.Spot {
 		score += 60
