--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sort"
+	"time"
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/scheduler/placement"
@@ -181,10 +182,31 @@
 	return best
 }
 
+// spotRisk is the chance that a spot machine is taken while a task of the job
+// runs, going by the losses seen so far. Before anything was seen it assumes
+// one in half an hour.
+func (c *Core) spotRisk(j *job) float64 {
+	const priorHours = 0.5
+	perHour := (1 + float64(c.spotLosses)) / (priorHours + c.spotTime.Hours())
+	return perHour * j.spec.EstimateS / 3600
+}
+
+// noteSpot counts the time that spot machines were up.
+func (c *Core) noteSpot(passed time.Duration) {
+	for _, m := range c.order {
+		if m.Spot && m.reported && !m.returning {
+			c.spotTime += passed
+		}
+	}
+}
+
 func (c *Core) offer(j *job, m *machine) placement.Offer {
 	o := placement.Offer{Site: m.Site, Free: m.free(), Total: m.total,
 		Cached: m.images[j.spec.Image] != nil, SameZone: j.zones[m.Zone],
 		Suspect: j.failedOn[m.host] > 0 || len(m.errors) > 0 && c.now < m.lastError.Add(quarantineFor)}
+	if m.Spot {
+		o.SpotRisk = c.spotRisk(j)
+	}
 	_, o.Hasty = c.opt.Impatient[j.spec.Class]
 	if !m.Spot || !o.Cached || j.spec.Service {
 		for _, a := range m.tasks {
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -42,6 +42,7 @@
 	if c.now < c.lastFleet.Add(fleetEvery) {
 		return
 	}
+	c.noteSpot(c.now.Sub(c.lastFleet))
 	c.lastFleet = c.now
 	c.notePeaks()
 	// A predecessor's machines may not be listed yet; rented again, they
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -182,6 +182,9 @@
 	peaks       map[string]*peak
 	out         Effects
 
+	spotTime   time.Duration
+	spotLosses int
+
 	lost [stopDrained + 2]loss
 
 	// Deposed is set when a worker shows a higher leader's token.
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -199,6 +199,7 @@
 	if rep.NoticeS != nil {
 		if m.noticeBy == 0 {
 			c.changed = true
+			c.spotLosses++
 		}
 		m.noticeBy = c.now.Add(ids.Seconds(*rep.NoticeS))
 	}
@@ -622,6 +623,9 @@
 		case m.missing >= 2 && c.silent(m, 2*c.opt.Report):
 			// It was listed and is not any more: it was taken. Returning what
 			// is gone does nothing, and the answer proves that it is gone.
+			if m.Spot && m.noticeBy == 0 {
+				c.spotLosses++
+			}
 			c.giveBack(m)
 		case !m.reported && m.bootBy != 0 && c.now > m.bootBy && len(m.tasks) == 0:
 			c.giveBack(m)
--- a/scheduler/placement/placement.go
+++ b/scheduler/placement/placement.go
@@ -80,13 +80,14 @@
 type Offer struct {
 	Site
 	Free, Total Resources
-	Cached      bool // the image is there
-	Fetching    bool // the image is on its way
-	SameJob     int  // tasks of the same job on the machine
-	SameZone    int  // tasks of the same job in the zone
-	Pinned      bool // services keep the machine
-	Hasty       bool // the job's class must start within seconds
-	Suspect     bool // the machine failed tasks or runs them slowly
+	Cached      bool    // the image is there
+	Fetching    bool    // the image is on its way
+	SameJob     int     // tasks of the same job on the machine
+	SameZone    int     // tasks of the same job in the zone
+	Pinned      bool    // services keep the machine
+	Hasty       bool    // the job's class must start within seconds
+	SpotRisk    float64 // chance that a spot machine is taken during the task
+	Suspect     bool    // the machine failed tasks or runs them slowly
 }
 
 // Score ranks offers for a job; the largest goes first. Kind of machine weighs
@@ -110,7 +111,7 @@
 		score += 20
 	}
 	if s.Spot && o.Spot {
-		score += 60
+		score += 60 - min(200, 800*o.SpotRisk)
 	}
 	if o.Suspect {
 		score -= 500
