--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -169,11 +169,15 @@
 	bestScore := 0.0
 	ref := ids.TaskRef{Job: j.id, Index: index}
 	need := placement.Of(j.spec)
+	_, hasty := c.opt.Impatient[j.spec.Class]
 	for _, m := range c.order {
 		if !c.usable(m) || c.now < m.quarantine || !placement.Allowed(j.spec, m.Site) ||
 			!need.Within(m.free()) || !j.zones.Admits(j.spec, m.Zone) || m.showsAny(ref) {
 			continue
 		}
+		if hasty && !j.coldOK && m.images[j.spec.Image] == nil {
+			continue // a fetch takes longer than making room where the image is
+		}
 		o := c.offer(j, m)
 		if s := placement.Score(j.spec, &o); best == nil || s > bestScore {
 			best, bestScore = m, s
@@ -333,6 +337,7 @@
 		return nil, false
 	}
 	need := placement.Of(j.spec)
+	_, hasty := r.c.opt.Impatient[j.spec.Class]
 	var best *machine
 	var victims []*assignment
 	bestCost := 0.0
@@ -341,15 +346,19 @@
 		if !ok || !placement.Allowed(j.spec, m.Site) || !j.zones.Admits(j.spec, m.Zone) || j.failedOn[m.host] > 0 {
 			continue
 		}
-		if by != claimOwn && need.Within(free) {
+		warm := m.images[j.spec.Image] != nil
+		var v []*assignment
+		cost := 0.0
+		if by == claimOwn || !need.Within(free) {
+			if !need.Within(m.total) {
+				continue
+			}
+			v, cost, ok = r.victims(j, m, by, need, free)
+		} else if warm || !hasty {
 			best, victims = m, nil
 			break
 		}
-		if !need.Within(m.total) {
-			continue
-		}
-		v, cost, ok := r.victims(j, m, by, need, free)
-		if m.images[j.spec.Image] == nil {
+		if !warm {
 			cost += missingImage
 		}
 		if ok && (best == nil || cost < bestCost) {
@@ -359,6 +368,9 @@
 	if best == nil {
 		return nil, false
 	}
+	if hasty && best.images[j.spec.Image] == nil && !j.coldOK {
+		j.coldOK, r.c.changed = true, true
+	}
 	free, team := r.coming[best], j.spec.Team
 	r.owed[team] = r.owed[team].Plus(j.amount())
 	for _, a := range victims {
@@ -374,7 +386,7 @@
 
 // missingImage is what it costs to make room where the image would have to be
 // fetched first.
-const missingImage = 200
+const missingImage = 80
 
 // victims picks the tasks on a machine whose end loses least.
 func (r *room) victims(j *job, m *machine, by claim, need, free placement.Resources) ([]*assignment, float64, bool) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -132,6 +132,9 @@
 	retryAt   ids.Instant
 	refreshAt ids.Instant // no change before, the record is being read again
 	backoff   time.Duration
+	// coldOK: no machine that holds the image can take the job's tasks, so
+	// others may.
+	coldOK    bool
 	failedOn  map[ids.Host]int
 	succeeded int
 	known     ids.Instant
--- a/scheduler/placement/placement.go
+++ b/scheduler/placement/placement.go
@@ -110,7 +110,7 @@
 	if o.Pinned && !o.Spot {
 		score += 20
 	}
-	if s.Spot && o.Spot {
+	if s.Spot && o.Spot && !o.Hasty {
 		score += 60 - min(200, 800*o.SpotRisk)
 	}
 	if o.Suspect {
