Borrowers stop only lower work that borrows too, or their own team's

Cause: a borrowing closure-push stopped renders within their guarantee, which admission then put back before it: tasks were placed and stopped thousands of times. Some thrash remains and is looked at next.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -312,8 +312,8 @@
 const (
 	claimNone    claim = iota
 	claimOwn           // its team is at its limit: only by its own lower work
-	claimBorrow        // by work of lower priority
-	claimNominal       // by that, and by what others borrow
+	claimBorrow        // by work of lower priority that is its own or borrows too
+	claimNominal       // by work of lower priority, and by what others borrow
 )
 
 func (r *room) claim(j *job) claim {
@@ -400,7 +400,11 @@
 			continue
 		}
 		v := a.job.spec
-		lower := v.Priority < j.spec.Priority && (by != claimOwn || v.Team == j.spec.Team)
+		// Admission lets those within their guarantee go before borrowers of
+		// any priority. Were borrowers to stop them for their priority, the
+		// two would take each other's room for ever.
+		lower := v.Priority < j.spec.Priority && (by == claimNominal || v.Team == j.spec.Team ||
+			by == claimBorrow && a.job.amount().Within(r.over[v.Team]))
 		borrowed := by == claimNominal && v.Team != j.spec.Team && a.job.amount().Within(r.over[v.Team])
 		if !lower && !borrowed {
 			continue
