End the thrash between admission and the search for victims

Cause: room for a service's second replica was made in the zone of the first; gangs that need one zone took the zone of the best machine only; a job whose machines were barred marked all jobs of its size as without room; lower work of a team slipped into its guarantee past higher work that borrows; and evicted work came back before the work that it was evicted for. One render was placed 3,700 times. Each cause is mended, and evicted work waits half a second. A test plays random waiting lists until nothing moves any more; it failed for each cause in turn.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -35,15 +36,16 @@
 // shape is what decides whether a task finds any machine at all. Once one
 // task of a shape found none, the rest of the pass need not look again.
 type shape struct {
-	res     placement.Resources
-	spot    bool
-	zone    ids.Zone
-	types   string
-	oneZone bool
+	res  placement.Resources
+	spot bool
+	zone ids.Zone
 }
 
-func shapeOf(s *wire.Spec) (shape, bool) {
-	if s.Spread || s.OneZone || len(s.Types) > 0 {
+func (c *Core) shapeOf(j *job) (shape, bool) {
+	s := j.spec
+	// What one job may not use, another of its size may.
+	_, hasty := c.opt.Impatient[s.Class]
+	if s.Spread || s.OneZone || len(s.Types) > 0 || len(j.failedOn) > 0 || hasty && !j.coldOK {
 		return shape{}, false
 	}
 	return shape{res: placement.Of(s), spot: s.Spot, zone: s.Zone}, true
@@ -66,19 +68,31 @@
 // admitAll places what fits of the waiting jobs.
 func (c *Core) admitAll(waiting []*job) {
 	full := map[shape]bool{}
+	// A team's lower work must not slip into the rest of its guarantee past
+	// higher work that has to borrow: the higher would stop it again.
+	borrower := map[ids.Team]wire.Priority{}
 	for _, nominal := range []bool{true, false} {
 		passed := 0
 		for _, j := range waiting {
 			if len(j.pending) == 0 {
 				continue
 			}
-			sh, ok := shapeOf(j.spec)
+			if nominal {
+				j.deferred = j.spec.Priority < borrower[j.spec.Team]
+				if j.deferred {
+					continue
+				}
+			}
+			sh, ok := c.shapeOf(j)
 			if ok && full[sh] {
 				continue
 			}
 			if noRoom := c.admit(j, nominal); noRoom && ok && !j.whole() {
 				full[sh] = true
 			}
+			if nominal && j.mustBorrow(c) {
+				borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
+			}
 			if len(j.pending) > 0 {
 				if passed++; passed > c.opt.PassOver {
 					break
@@ -112,6 +126,16 @@
 // gang's always, a service's when it starts.
 func (j *job) whole() bool { return j.spec.Gang || j.spec.Service && len(j.active) == 0 }
 
+// mustBorrow tells whether a job's waiting tasks fit quota, but not within the
+// guarantee.
+func (j *job) mustBorrow(c *Core) bool {
+	n := 1
+	if j.whole() {
+		n = len(j.pending)
+	}
+	return len(j.pending) > 0 && !c.fitsQuota(j, true, n) && c.fitsQuota(j, false, n)
+}
+
 // admit places what fits of a job: a service whole when it starts, an array
 // in slices that fit. noRoom tells that no machine had room.
 func (c *Core) admit(j *job, nominal bool) (noRoom bool) {
@@ -127,6 +151,33 @@
 	if whole && !c.fitsQuota(j, nominal, len(j.pending)) {
 		return false
 	}
+	if !whole || !j.spec.OneZone || len(j.active) > 0 {
+		return c.admitIn(j, nominal, whole)
+	}
+	// The best machine for the first task may stand in a zone that cannot
+	// hold the rest, so every zone has its turn, that one first.
+	first := c.pick(j, j.pending[len(j.pending)-1])
+	if first == nil {
+		return true
+	}
+	defer func() { j.only = "" }()
+	zones := []ids.Zone{first.Zone}
+	for _, m := range c.order {
+		if !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
+		}
+	}
+	for _, z := range zones {
+		j.only = z
+		if noRoom = c.admitIn(j, nominal, whole); !noRoom {
+			return false
+		}
+	}
+	return true
+}
+
+// admitIn is admit, in the one zone that the job is held to, if any.
+func (c *Core) admitIn(j *job, nominal, whole bool) (noRoom bool) {
 	var placed []*assignment
 	for k := len(j.pending) - 1; k >= 0; k-- {
 		if !c.fitsQuota(j, nominal, 1) {
@@ -175,6 +226,9 @@
 			!need.Within(m.free()) || !j.zones.Admits(j.spec, m.Zone) || m.showsAny(ref) {
 			continue
 		}
+		if j.only != "" && m.Zone != j.only {
+			continue
+		}
 		if hasty && !j.coldOK && m.images[j.spec.Image] == nil {
 			continue // a fetch takes longer than making room where the image is
 		}
@@ -259,6 +313,7 @@
 		}
 	}
 	for _, j := range waiting {
+		r.zones = maps.Clone(j.zones)
 		if j.whole() {
 			r.makeWhole(j)
 			continue
@@ -280,6 +335,8 @@
 	over    map[ids.Team]quota.Amount        // what teams use beyond their guarantee
 	owed    map[ids.Team]quota.Amount        // quota spoken for, less what is being freed
 	stopped map[*assignment]bool
+	// zones counts a job's tasks with those that room is being made for.
+	zones placement.Zones
 }
 
 // makeWhole makes room for all waiting tasks of a job, or for none.
@@ -302,10 +359,16 @@
 		if a.job.spec.Team != j.spec.Team {
 			r.c.book.Hold(j.spec.Team, r.c.now.Add(r.c.opt.ReclaimHold))
 		}
+		// Evicted work waits a moment, so that the room goes to the work that
+		// it was made for.
+		a.job.retryAt = max(a.job.retryAt, r.c.now.Add(evictedWait))
 		r.c.stop(a, stopPreempted)
 	}
 }
 
+// evictedWait is how long evicted work stays out of admission.
+const evictedWait = 500 * time.Millisecond
+
 // claim is by what right a task may have room made for it.
 type claim uint8
 
@@ -319,7 +382,7 @@
 func (r *room) claim(j *job) claim {
 	m := r.owed[j.spec.Team].Plus(j.amount())
 	switch {
-	case r.c.book.FitsNominal(j.spec.Team, m):
+	case !j.deferred && r.c.book.FitsNominal(j.spec.Team, m):
 		return claimNominal
 	case r.c.book.FitsBorrowing(j.spec.Team, m, r.c.now):
 		return claimBorrow
@@ -343,7 +406,7 @@
 	bestCost := 0.0
 	for _, m := range r.c.order {
 		free, ok := r.coming[m]
-		if !ok || !placement.Allowed(j.spec, m.Site) || !j.zones.Admits(j.spec, m.Zone) || j.failedOn[m.host] > 0 {
+		if !ok || !placement.Allowed(j.spec, m.Site) || !r.zones.Admits(j.spec, m.Zone) || j.failedOn[m.host] > 0 {
 			continue
 		}
 		warm := m.images[j.spec.Image] != nil
@@ -371,6 +434,9 @@
 	if hasty && best.images[j.spec.Image] == nil && !j.coldOK {
 		j.coldOK, r.c.changed = true, true
 	}
+	// Room for one replica beside the last would be room in the wrong zone,
+	// made again and again.
+	r.zones[best.Zone]++
 	free, team := r.coming[best], j.spec.Team
 	r.owed[team] = r.owed[team].Plus(j.amount())
 	for _, a := range victims {
@@ -389,10 +455,11 @@
 const missingImage = 80
 
 // victims picks the tasks on a machine whose end loses least.
-func (r *room) victims(j *job, m *machine, by claim, need, free placement.Resources) ([]*assignment, float64, bool) {
+func (r *room) victims(j *job, m *machine, by claim, need, room placement.Resources) ([]*assignment, float64, bool) {
 	type victim struct {
-		a    *assignment
-		cost float64
+		a        *assignment
+		cost     float64
+		borrowed bool // only what its team uses beyond its guarantee may go
 	}
 	var list []victim
 	for _, a := range m.sorted() {
@@ -400,16 +467,15 @@
 			continue
 		}
 		v := a.job.spec
+		own, lower := v.Team == j.spec.Team, v.Priority < j.spec.Priority
 		// Admission lets those within their guarantee go before borrowers of
 		// any priority. Were borrowers to stop them for their priority, the
 		// two would take each other's room for ever.
-		lower := v.Priority < j.spec.Priority && (by == claimNominal || v.Team == j.spec.Team ||
-			by == claimBorrow && a.job.amount().Within(r.over[v.Team]))
-		borrowed := by == claimNominal && v.Team != j.spec.Team && a.job.amount().Within(r.over[v.Team])
-		if !lower && !borrowed {
-			continue
+		free := lower && (own || by == claimNominal)
+		asBorrower := !own && (by == claimNominal || by == claimBorrow && lower)
+		if free || asBorrower {
+			list = append(list, victim{a, r.c.lossOf(a), !free})
 		}
-		list = append(list, victim{a, r.c.lossOf(a)})
 	}
 	sort.SliceStable(list, func(i, k int) bool { return list[i].cost < list[k].cost })
 	over := maps.Clone(r.over)
@@ -422,7 +488,7 @@
 	cost := 0.0
 	for _, v := range list {
 		s := v.a.job.spec
-		if s.Priority >= j.spec.Priority {
+		if v.borrowed {
 			if !v.a.job.amount().Within(over[s.Team]) {
 				continue
 			}
@@ -430,9 +496,9 @@
 		}
 		out = append(out, v.a)
 		cost += v.cost
-		free = free.Plus(placement.Of(s))
+		room = room.Plus(placement.Of(s))
 		short = short.Minus(v.a.job.amount())
-		if need.Within(free) && short.Within(quota.Amount{}) {
+		if need.Within(room) && short.Within(quota.Amount{}) {
 			return out, cost, true
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -132,6 +132,8 @@
 	retryAt   ids.Instant
 	refreshAt ids.Instant // no change before, the record is being read again
 	backoff   time.Duration
+	deferred  bool     // goes with the borrowers, behind higher work of its team
+	only      ids.Zone // while a zone is tried for a job that needs one
 	// coldOK: no machine that holds the image can take the job's tasks, so
 	// others may.
 	coldOK    bool
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -297,8 +297,12 @@
 	}
 	placedAt := map[ids.TaskRef]*machine{}
 	var out []string
+	borrower := map[ids.Team]wire.Priority{}
 	for _, nominal := range []bool{true, false} {
 		for _, j := range jobs {
+			if nominal && j.spec.Priority < borrower[j.spec.Team] {
+				continue
+			}
 			var wait []int
 			for i := range j.tasks {
 				if j.tasks[i].state == taskPending && placedAt[ids.TaskRef{Job: j.id, Index: i}] == nil {
@@ -306,63 +310,83 @@
 				}
 			}
 			whole := j.spec.Gang || j.spec.Service && len(j.active) == 0
-			if len(wait) == 0 || whole && !fits(j, nominal, len(wait)) {
+			left := len(wait)
+			if whole && left > 0 && !fits(j, nominal, left) {
+				if nominal && fits(j, false, left) {
+					borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
+				}
 				continue
 			}
-			var got []int
-			for _, i := range wait {
-				if !fits(j, nominal, 1) {
-					break
-				}
-				var best *machine
-				bestScore := 0.0
+			zones := []ids.Zone{""}
+			if whole && j.spec.OneZone && len(j.active) == 0 {
+				zones = nil
 				for _, m := range c.order {
-					zones := placement.Zones{}
-					same := 0
-					for _, a := range j.active {
-						zones[a.m.Zone]++
-						if a.m == m {
-							same++
-						}
+					if !slices.Contains(zones, m.Zone) {
+						zones = append(zones, m.Zone)
 					}
-					for ref, p := range placedAt {
-						if ref.Job == j.id {
-							zones[p.Zone]++
-							if p == m {
+				}
+			}
+			var got []int
+			// place puts tasks one by one, into the given zone only if one is given.
+			place := func(only ids.Zone) {
+				got = nil
+				for _, i := range wait {
+					if !fits(j, nominal, 1) {
+						break
+					}
+					var best *machine
+					bestScore := 0.0
+					for _, m := range c.order {
+						if only != "" && m.Zone != only {
+							continue
+						}
+						zones := placement.Zones{}
+						same := 0
+						for _, a := range j.active {
+							zones[a.m.Zone]++
+							if a.m == m {
 								same++
 							}
 						}
+						for ref, p := range placedAt {
+							if ref.Job == j.id {
+								zones[p.Zone]++
+								if p == m {
+									same++
+								}
+							}
+						}
+						if !placement.Allowed(j.spec, m.Site) || !placement.Of(j.spec).Within(room[m.host].free) || !zones.Admits(j.spec, m.Zone) {
+							continue
+						}
+						o := placement.Offer{Site: m.Site, Free: room[m.host].free, Total: m.total, SameZone: zones[m.Zone]}
+						if j.spec.Service {
+							o.SameJob = same
+						}
+						o.Fetching = len(m.tasks) > 0
+						for _, a := range m.tasks {
+							o.Pinned = o.Pinned || a.job.spec.Service
+						}
+						for _, p := range placedAt {
+							o.Fetching = o.Fetching || p == m
+						}
+						for ref, p := range placedAt {
+							o.Pinned = o.Pinned || p == m && c.jobs[ref.Job].spec.Service
+						}
+						if s := placement.Score(j.spec, &o); best == nil || s > bestScore {
+							best, bestScore = m, s
+						}
 					}
-					if !placement.Allowed(j.spec, m.Site) || !placement.Of(j.spec).Within(room[m.host].free) || !zones.Admits(j.spec, m.Zone) {
-						continue
-					}
-					o := placement.Offer{Site: m.Site, Free: room[m.host].free, Total: m.total, SameZone: zones[m.Zone]}
-					if j.spec.Service {
-						o.SameJob = same
-					}
-					o.Fetching = len(m.tasks) > 0
-					for _, a := range m.tasks {
-						o.Pinned = o.Pinned || a.job.spec.Service
-					}
-					for _, p := range placedAt {
-						o.Fetching = o.Fetching || p == m
-					}
-					for ref, p := range placedAt {
-						o.Pinned = o.Pinned || p == m && c.jobs[ref.Job].spec.Service
-					}
-					if s := placement.Score(j.spec, &o); best == nil || s > bestScore {
-						best, bestScore = m, s
+					if best == nil {
+						break
 					}
+					placedAt[ids.TaskRef{Job: j.id, Index: i}] = best
+					room[best.host].free = room[best.host].free.Minus(placement.Of(j.spec))
+					used[j.spec.Team] = used[j.spec.Team].Plus(j.amount())
+					got = append(got, i)
 				}
-				if best == nil {
-					break
-				}
-				placedAt[ids.TaskRef{Job: j.id, Index: i}] = best
-				room[best.host].free = room[best.host].free.Minus(placement.Of(j.spec))
-				used[j.spec.Team] = used[j.spec.Team].Plus(j.amount())
-				got = append(got, i)
 			}
-			if whole && len(got) < len(wait) {
+			undo := func() {
 				for _, i := range got {
 					ref := ids.TaskRef{Job: j.id, Index: i}
 					m := placedAt[ref]
@@ -370,6 +394,31 @@
 					used[j.spec.Team] = used[j.spec.Team].Minus(j.amount())
 					delete(placedAt, ref)
 				}
+				got = nil
+			}
+			if len(zones) > 1 {
+				// The zone of the best machine for the first task goes first.
+				place("")
+				var first ids.Zone
+				if len(got) > 0 {
+					first = placedAt[ids.TaskRef{Job: j.id, Index: got[0]}].Zone
+				}
+				undo()
+				sort.SliceStable(zones, func(a, b int) bool { return zones[a] == first && zones[b] != first })
+			}
+			for _, z := range zones {
+				place(z)
+				if !whole || len(got) == len(wait) {
+					break
+				}
+				undo()
+			}
+			rest := 1
+			if whole {
+				rest = len(wait)
+			}
+			if nominal && len(got) < len(wait) && !fits(j, true, rest) && fits(j, false, rest) {
+				borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
 			}
 		}
 	}
@@ -433,3 +482,63 @@
 		t.Fatalf("the comparison saw only %d placements", placed)
 	}
 }
+
+// Admission and the search for victims must agree on who goes first. Where
+// they did not, a task was placed and stopped thousands of times: borrowers
+// stopped work within its guarantee, and room for a second replica was made in
+// the zone that only the first may use.
+func TestNoTaskIsPlacedAndStoppedOverAndOver(t *testing.T) {
+	stopped := 0
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		var teams []quota.Team
+		for n := range 3 {
+			nominal := float64(4 * rng.IntN(6))
+			teams = append(teams, quota.Team{Name: ids.Team(fmt.Sprintf("t%d", n)), Nominal: quota.Amount{CPUs: nominal},
+				Limit: quota.Amount{CPUs: nominal + float64(4*rng.IntN(8))}, Lend: quota.Amount{CPUs: nominal}})
+		}
+		b := newBench(t, Options{Teams: teams, Impatient: map[string]time.Duration{"hasty": time.Second}})
+		b.c.Begin(b.now)
+		for n := range 1 + rng.IntN(5) {
+			b.report(ids.Host(fmt.Sprintf("n-%d", n)), []ids.Zone{"a", "b", "c"}[rng.IntN(3)], 0)
+		}
+		for round := range 4 {
+			for n := range rng.IntN(5) {
+				spec := wire.Spec{Class: []string{"hasty", "calm"}[rng.IntN(2)], Team: teams[rng.IntN(3)].Name, Priority: wire.Priority(rng.IntN(4)),
+					Tasks: 1 + rng.IntN(5), CPUs: float64(1 + rng.IntN(5)), Spread: rng.IntN(3) == 0, OneZone: rng.IntN(5) == 0}
+				spec.Service = rng.IntN(3) == 0
+				spec.Gang = !spec.Service && rng.IntN(4) == 0
+				b.job(ids.JobID(fmt.Sprintf("job-%d-%d", round, n)), spec)
+			}
+			attempts := func() (sum int) {
+				for _, j := range b.c.jobs {
+					for i := range j.tasks {
+						sum += int(j.tasks[i].attempt)
+					}
+				}
+				return sum
+			}
+			before := attempts()
+			for range 8 {
+				b.c.changed = true
+				b.step()
+			}
+			settled := attempts()
+			for range 8 {
+				b.c.changed = true
+				b.step()
+			}
+			if now := attempts(); now != settled {
+				t.Fatalf("seed %d round %d: %d attempts at first, then %d, then %d, with nothing happening", seed, round, before, settled, now)
+			}
+		}
+		for _, j := range b.c.jobs {
+			if j.retryAt > 0 {
+				stopped++
+			}
+		}
+	}
+	if stopped == 0 {
+		t.Fatal("nothing was ever stopped, so nothing was tested")
+	}
+}
