Rent ahead for services on machines that fell silent

Ruled out: giving the machine back sooner (most cuts end within the lease, and until then its replicas count as up).

--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -66,6 +66,7 @@
 		}
 	}
 	c.demand(p)
+	c.replacements(p)
 	c.headroom(p)
 	for _, b := range p.Buys() {
 		n := min(b.Count, 50)
@@ -120,6 +121,28 @@
 	}
 }
 
+// replacements rents ahead for services on machines that have been silent for
+// a while. If they are lost, a boot that began only then would be time without
+// them; if they come back, the machine is idle and returned.
+func (c *Core) replacements(p *fleet.Planner) {
+	var silent []*machine
+	for _, m := range c.order {
+		switch {
+		case c.usable(m) && c.now >= m.quarantine:
+			p.Coming(m.Site, m.free())
+		case m.reported && c.silent(m, c.opt.Report*3) || m.noticeBy != 0:
+			silent = append(silent, m)
+		}
+	}
+	for _, m := range silent {
+		for _, a := range m.sorted() {
+			if a.job.spec.Service && a.stop == stopNone {
+				p.Add(fleet.Demand{Spec: a.job.spec, Count: 1})
+			}
+		}
+	}
+}
+
 func (c *Core) notePeaks() {
 	count := map[string]int{}
 	for _, j := range c.jobs {
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -542,3 +542,24 @@
 		t.Fatal("nothing was ever stopped, so nothing was tested")
 	}
 }
+
+// A service on a machine that was cut off was replaced only once the machine's
+// lease had run out, and then waited for a boot as well.
+func TestRentsAheadForServicesOnSilentMachines(t *testing.T) {
+	b := newBench(t, Options{})
+	b.c.Begin(b.now)
+	b.report("n-1", "a", 0)
+	b.job("job-1", wire.Spec{Tasks: 1, Service: true, CPUs: 6})
+	b.job("job-2", wire.Spec{Tasks: 1, CPUs: 2})
+	b.step()
+	for range 4 {
+		b.now = b.now.Add(simReport)
+		if e := b.step(); len(e.Rent) > 0 {
+			if silent := b.now.Sub(b.c.machines["n-1"].lastHeard); silent < 3*simReport || e.Rent[0].Count != 1 || e.Rent[0].Spot {
+				t.Fatalf("after %v: rented %+v", silent, e.Rent)
+			}
+			return
+		}
+	}
+	t.Fatal("nothing rented while the machine was silent")
+}
