--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/config"
+	"ospreystile.example/ospreystile/httpc"
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/mesh"
+	"ospreystile.example/ospreystile/wire"
+)
+
+func testConfig(state string) *config.Platform {
+	p := &config.Platform{HostName: "n-0", APIAddr: "127.0.0.1:1", MeshAddr: "127.0.0.1:2"}
+	p.External.State, p.External.Cloud = state, "127.0.0.1:3"
+	p.Settings.Teams = []config.Team{{Name: "red", CPUs: 4, CPUsMax: 16}}
+	p.Settings.State.RPS, p.Settings.State.TxnOps, p.Settings.Cloud.RPS = 200, 8, 4
+	return p
+}
+
+func testNode(t *testing.T, cfg *config.Platform) *Node {
+	t.Helper()
+	op, err := config.ParseOperator(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(cfg, op, slog.New(slog.DiscardHandler))
+}
+
+// A worker that was sent to the leader and is back soon did not reach it.
+func TestWorkersThatComeBackArePassedOn(t *testing.T) {
+	r := relays{until: map[ids.Host]*relay{}}
+	at := func(s float64) ids.Instant { return ids.Instant(time.Hour).Add(ids.Seconds(s)) }
+	for _, c := range []struct {
+		at     float64
+		passed bool
+	}{{0, false}, {6, true}, {9, true}, {50, true}, {52, false}, {58, true}, {200, false}, {230, false}} {
+		if got := r.passOn("n-1", at(c.at)); got != c.passed {
+			t.Errorf("at %v s: passed on %v, want %v", c.at, got, c.passed)
+		}
+	}
+}
+
+func TestWhatCanNeverRun(t *testing.T) {
+	n := testNode(t, testConfig("127.0.0.1:4"))
+	types := []wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}}
+	base := wire.Spec{Team: "red", Tasks: 3, CPUs: 8, MemoryGB: 1}
+	for name, c := range map[string]struct {
+		change func(*wire.Spec)
+		can    bool
+	}{
+		"an array may wait for its limit": {func(*wire.Spec) {}, true},
+		"a service needs all at once":     {func(s *wire.Spec) { s.Service = true }, false},
+		"so does a gang":                  {func(s *wire.Spec) { s.Gang = true }, false},
+		"a service that fits":             {func(s *wire.Spec) { s.Service, s.Tasks = true, 2 }, true},
+		"unknown team":                    {func(s *wire.Spec) { s.Team = "green" }, false},
+		"too large for any type":          {func(s *wire.Spec) { s.CPUs = 9 }, false},
+		"too much memory":                 {func(s *wire.Spec) { s.MemoryGB = 17 }, false},
+		"no such type":                    {func(s *wire.Spec) { s.Types = []ids.MachineType{"x"} }, false},
+		"no such zone":                    {func(s *wire.Spec) { s.Zone = "z" }, false},
+		"no gpus for anybody":             {func(s *wire.Spec) { s.GPUs = 1 }, false},
+	} {
+		s := base
+		c.change(&s)
+		if got := n.canRun(&s, types); got != c.can {
+			t.Errorf("%s: %v, want %v", name, got, c.can)
+		}
+	}
+}
+
+// store is a stand-in for the state service that knows one job and can refuse.
+func store(t *testing.T) (addr string, refuse *atomic.Bool) {
+	t.Helper()
+	refuse = new(atomic.Bool)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case refuse.Load():
+			w.WriteHeader(503)
+		case r.URL.Path == "/store/jobs/job-1":
+			_, _ = w.Write(wire.Encode(map[string]any{"v": map[string]any{"s": "withdrawn", "n": 3}, "stamp": 7}))
+		default:
+			w.WriteHeader(404)
+			_, _ = w.Write(wire.Encode(map[string]any{"epoch": 9}))
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://"), refuse
+}
+
+// A node that the state service refuses alone reads through a peer; without
+// one it says at once that it does not know.
+func TestReadsThroughAPeerWhenRefusedAlone(t *testing.T) {
+	goodAddr, _ := store(t)
+	badAddr, refuse := store(t)
+	refuse.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := testNode(t, testConfig(goodAddr))
+	go func() { served <- mesh.Serve(ctx, ln, other.handle, other.log) }()
+	defer func() { cancel(); <-served }()
+
+	cfg := testConfig(badAddr)
+	cfg.Seeds = []config.Peer{{Name: "n-1", Address: ln.Addr().String()}}
+	n := testNode(t, cfg)
+	if a := n.Status(ctx, "job-1"); a.Code != 503 || a.Retry == 0 {
+		t.Fatalf("refused, and no peer known to be better: %+v", a)
+	}
+	n.health.failures.Store(2)
+	n.peers[0].stateOK.Store(true)
+	n.peers[0].heard.Store(int64(n.clock.Now()))
+	if a := n.Status(ctx, "job-2"); a.Code != 404 {
+		t.Errorf("an unknown job: %+v", a)
+	}
+	a := n.Status(ctx, "job-1")
+	if s, ok := a.Body.(wire.JobStatus); a.Code != 200 || !ok || s.Status != wire.StatusWithdrawn {
+		t.Fatalf("through the peer: %+v", a)
+	}
+	// What is over stays over, whoever can be reached.
+	n.peers[0].stateOK.Store(false)
+	if a := n.Status(ctx, "job-1"); a.Code != 200 {
+		t.Errorf("a job known to be over: %+v", a)
+	}
+}
+
+func TestAnswersThatNeverCameAreUnknown(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			buf := make([]byte, 1)
+			_, _ = c.Read(buf)
+			c.Close() // after the request has arrived
+		}
+	}()
+	if _, _, err := httpc.New(ln.Addr().String(), 1, 1000).Do(t.Context(), "POST", "/commit", []byte{1}, time.Minute); !errors.Is(err, httpc.ErrNoAnswer) {
+		t.Errorf("a request that arrived and was not answered: %v", err)
+	}
+	ln.Close()
+	if _, _, err := httpc.New(ln.Addr().String(), 1, 1000).Do(t.Context(), "POST", "/commit", []byte{1}, time.Minute); !errors.Is(err, httpc.ErrNotSent) {
+		t.Errorf("a refused connection: %v", err)
+	}
+}
