--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -261,7 +261,7 @@
 func (c *Core) offer(j *job, m *machine) placement.Offer {
 	o := placement.Offer{Site: m.Site, Free: m.free(), Total: m.total,
 		Cached: m.images[j.spec.Image] != nil, SameZone: j.zones[m.Zone],
-		Suspect: j.failedOn[m.host] > 0 || len(m.errors) > 0 && c.now < m.lastError.Add(quarantineFor)}
+		Suspect: j.failedOn[m.host] > 0 || c.now < m.slowUntil || len(m.errors) > 0 && c.now < m.lastError.Add(quarantineFor)}
 	if m.Spot {
 		o.SpotRisk = c.spotRisk(j)
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -139,6 +139,7 @@
 	coldOK    bool
 	failedOn  map[ids.Host]int
 	succeeded int
+	ran       map[ids.Host][]time.Duration // tasks that were seen from start to end
 	known     ids.Instant
 }
 
@@ -433,6 +434,7 @@
 		c.withdrawn[j] = true
 		return
 	}
+	c.notePace(a)
 	j.tasks[a.index].state = taskDone
 	j.done++
 	j.succeeded++
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -563,3 +563,50 @@
 	}
 	t.Fatal("nothing rented while the machine was silent")
 }
+
+// A machine on which tasks take much longer than their siblings elsewhere is
+// taken last, and after more of them not at all.
+func TestSlowMachinesAreTakenLast(t *testing.T) {
+	b := newBench(t, Options{Teams: []quota.Team{{Name: "red", Nominal: quota.Amount{CPUs: 640}, Limit: quota.Amount{CPUs: 640}}}})
+	b.c.Begin(b.now)
+	hosts := []ids.Host{"n-1", "n-2", "n-3"}
+	token := ids.NewToken(5, 0)
+	for round := range 8 {
+		id := ids.JobID(fmt.Sprintf("job-%d", round))
+		for _, h := range hosts {
+			b.report(h, "a", token)
+		}
+		b.job(id, wire.Spec{Tasks: 12})
+		b.step()
+		on := map[ids.Host][]wire.Task{}
+		for i, tk := range b.c.jobs[id].tasks {
+			if tk.a == nil {
+				continue
+			}
+			on[tk.a.m.host] = append(on[tk.a.m.host], wire.Task{Name: fmt.Sprintf("%s/%d", id, i), Attempt: tk.attempt, State: wire.TaskRunning})
+		}
+		if m := b.c.machines["n-3"]; m.slowFor >= slowJobs {
+			if len(on["n-3"]) > 0 {
+				t.Fatalf("round %d: the slow machine was set aside and got %d tasks", round, len(on["n-3"]))
+			}
+			return
+		}
+		for _, h := range hosts {
+			b.report(h, "a", token)
+			b.report(h, "a", token, on[h]...)
+		}
+		end := func(h ids.Host) {
+			for i := range on[h] {
+				on[h][i].State, on[h][i].Cause = wire.TaskEnded, wire.CauseDone
+			}
+			b.report(h, "a", token, on[h]...)
+		}
+		b.now = b.now.Add(10 * time.Second)
+		end("n-1")
+		end("n-2")
+		b.now = b.now.Add(20 * time.Second)
+		end("n-3")
+		b.step()
+	}
+	t.Fatalf("the slow machine was never set aside: pace %v", b.c.machines["n-3"].pace)
+}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -67,6 +68,11 @@
 	errors     map[ids.JobID]int
 	quarantine ids.Instant
 	lastError  ids.Instant
+	// pace is a running mean of how many times as long tasks took here as
+	// others of their jobs did, as a power of 2.
+	pace      float64
+	slowUntil ids.Instant
+	slowFor   int // jobs in a row that found the machine slow
 }
 
 func (m *machine) free() placement.Resources { return m.total.Minus(m.used).Minus(m.strays) }
@@ -314,6 +320,59 @@
 	c.release(a)
 }
 
+const (
+	slowPace  = 0.58 // one and a half times as long
+	slowFor   = time.Minute
+	slowJobs  = 4
+	paceTasks = 4 // a job of fewer tasks says too little
+)
+
+// notePace compares the machines that a job's tasks ran on, once all are done.
+// Before that, those still running always look slow beside those that were
+// quick. Tasks of a job differ too, so one job alone says little; several in a
+// row set a machine behind all others, and more of them set it aside.
+func (c *Core) notePace(a *assignment) {
+	j := a.job
+	if j.spec.Service || a.phase != wire.TaskRunning || len(j.tasks) < paceTasks {
+		return
+	}
+	if j.ran == nil {
+		j.ran = map[ids.Host][]time.Duration{}
+	}
+	j.ran[a.m.host] = append(j.ran[a.m.host], max(c.now.Sub(a.since), 100*time.Millisecond))
+	if j.done+1 < len(j.tasks) {
+		return
+	}
+	var sum time.Duration
+	n := 0
+	for _, runs := range j.ran {
+		for _, r := range runs {
+			sum += r
+			n++
+		}
+	}
+	for h, runs := range j.ran {
+		m := c.machines[h]
+		if m == nil || n-len(runs) < paceTasks/2 {
+			continue
+		}
+		var here time.Duration
+		for _, r := range runs {
+			here += r
+		}
+		usual := float64(sum-here) / float64(n-len(runs))
+		m.pace = 0.6*m.pace + 0.4*math.Log2(float64(here)/float64(len(runs))/usual)
+		if m.pace < slowPace {
+			m.slowFor = 0
+			continue
+		}
+		m.slowUntil = c.now.Add(slowFor)
+		if m.slowFor++; m.slowFor >= slowJobs {
+			m.quarantine = c.now.Add(quarantineFor)
+		}
+	}
+}
+
 func (c *Core) avoid(j *job, m *machine) {
 	if j.failedOn == nil {
 		j.failedOn = map[ids.Host]int{}
