--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -66,8 +66,8 @@
 		}
 	}
 	c.demand(p)
-	c.replacements(p)
 	c.headroom(p)
+	c.replacements(p) // last, as it counts free room that the others have used
 	for _, b := range p.Buys() {
 		n := min(b.Count, 50)
 		c.nextBooking++
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -610,3 +610,24 @@
 	}
 	t.Fatalf("the slow machine was never set aside: pace %v", b.c.machines["n-3"].pace)
 }
+
+// Spare room for classes in a hurry was once looked for in the free room that
+// had already been counted, and so never rented.
+func TestHeadroomIsRentedBesideFreeRoom(t *testing.T) {
+	b := newBench(t, Options{Headroom: 3, Impatient: map[string]time.Duration{"hasty": time.Second}})
+	b.c.Begin(b.now)
+	b.report("n-1", "a", 0)
+	b.job("job-1", wire.Spec{Class: "hasty", Tasks: 2, CPUs: 2})
+	b.step()
+	b.now = b.now.Add(2 * time.Second)
+	b.report("n-1", "a", 0)
+	e := b.step()
+	rented := 0
+	for _, r := range e.Rent {
+		rented += r.Count
+	}
+	// The peak of 2 asks for 8 more tasks of 2 CPUs; 4 CPUs are free.
+	if rented != 2 {
+		t.Fatalf("rented %d machines of 8 CPUs: %+v", rented, e.Rent)
+	}
+}
