--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -631,3 +631,30 @@
 		t.Fatalf("rented %d machines of 8 CPUs: %+v", rented, e.Rent)
 	}
 }
+
+// A machine died around a takeover. The successor never heard of it, never saw
+// it listed, and held its tasks for two minutes.
+func TestMachineThatDiedAtTheTakeoverIsNoticed(t *testing.T) {
+	b := newBench(t, Options{Predecessor: true, Grace: 90 * time.Second, ListLag: 3 * time.Second})
+	spec := wire.Spec{Class: "c", Team: "red", Tasks: 1, CPUs: 2, Image: "i"}
+	b.c.LoadJob("job-1", &ledger.Job{Status: wire.StatusQueued, Tasks: 1, Spec: &spec}, 3)
+	if err := b.c.LoadSlice("job-1", 0, &ledger.Slice{Hosts: []ids.Host{"n-1"}, Zones: []ids.Zone{"a"}, Tasks: []int{0, 1, 0}}, 4); err != nil {
+		t.Fatal(err)
+	}
+	b.c.Begin(b.now)
+	for s := range 20 {
+		b.now = b.now.Add(time.Second)
+		b.c.MachineList(b.now, b.now, nil)
+		if e := b.step(); slices.Contains(e.Return, "n-1") {
+			if s < 7 {
+				t.Fatalf("given back after %d s, within the lag of the list", s+1)
+			}
+			b.c.ReturnResult(b.now, e.Return, true)
+			if b.c.book.Used("red").CPUs != 0 {
+				t.Fatal("the task still counts")
+			}
+			return
+		}
+	}
+	t.Fatal("the machine was never given back")
+}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -815,7 +815,11 @@
 		m.listed, m.missing = w.Status, 0
 	}
 	for _, m := range c.order {
-		if m.listed != "" && !listed[m.host] {
+		// A machine that a predecessor placed tasks on is long past the lag.
+		// Unless this is said, one that died with the predecessor keeps its
+		// tasks for the whole grace and a lease.
+		old := m.known <= c.started && asked > c.started.Add(2*c.opt.ListLag+time.Second)
+		if (m.listed != "" || old) && !listed[m.host] {
 			m.missing++
 		}
 	}
