--- a/election/election.go
+++ b/election/election.go
@@ -134,7 +134,7 @@
 	for ctx.Err() == nil {
 		if err := e.round(ctx); err != nil && ctx.Err() == nil {
 			e.log.Debug("election round", "err", err)
-			pause(ctx, 200*time.Millisecond+time.Duration(rand.IntN(100))*time.Millisecond)
+			ids.Pause(ctx, 200*time.Millisecond+time.Duration(rand.IntN(100))*time.Millisecond)
 		}
 	}
 	return ctx.Err()
@@ -253,7 +253,7 @@
 	revoke, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	_ = e.store.Revoke(revoke, lease)
-	pause(ctx, 100*time.Millisecond)
+	ids.Pause(ctx, 100*time.Millisecond)
 	return nil
 }
 
@@ -276,15 +276,6 @@
 		if err != nil {
 			wait = e.ttl / 10
 		}
-		pause(ctx, wait)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		ids.Pause(ctx, wait)
 	}
 }
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -191,7 +191,7 @@
 			w.mu.Unlock()
 			for ctx.Err() == nil {
 				w.check()
-				pause(ctx, 20*time.Millisecond)
+				ids.Pause(ctx, 20*time.Millisecond)
 			}
 			return context.Cause(ctx)
 		})
--- a/ids/ids.go
+++ b/ids/ids.go
@@ -3,6 +3,7 @@
 package ids
 
 import (
+	"context"
 	"strconv"
 	"strings"
 	"time"
@@ -99,3 +100,15 @@
 // Drift widens a wait so that it has surely passed on another machine's
 // steady clock, which may differ by 0.05% from true time, as may ours.
 func Drift(d time.Duration) time.Duration { return d + d/500 + 10*time.Millisecond }
+
+// Pause waits for a time; it is false if the context ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/ledger/committer.go
+++ b/ledger/committer.go
@@ -165,7 +165,7 @@
 		if len(again) == len(rest) {
 			// A refusal that names no guard of ours cannot be acted on.
 			c.log.Warn("transaction refused without a known key", "failed", out.Failed)
-			if !sleep(ctx, 200*time.Millisecond) {
+			if !ids.Pause(ctx, 200*time.Millisecond) {
 				return ctx.Err()
 			}
 		}
@@ -224,7 +224,7 @@
 			return out, batch, err
 		}
 		c.log.Debug("commit not settled", "err", err, "changes", len(batch))
-		if !sleep(ctx, wait) {
+		if !ids.Pause(ctx, wait) {
 			return out, batch, ctx.Err()
 		}
 	}
@@ -269,14 +269,3 @@
 	e, found, err := c.store.Get(ctx, txn.Apply[0].Drop)
 	return err == nil && !found, e.Stamp, err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -128,23 +128,12 @@
 				t.post(ctx, func() { t.core.SetCatalog(types) })
 			}
 		}
-		if !pause(ctx, wait) {
+		if !ids.Pause(ctx, wait) {
 			return ctx.Err()
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // endedJobs remembers jobs that are over. That is final, so any node may say
 // it at any time.
 type endedJobs struct {
--- a/node/routes.go
+++ b/node/routes.go
@@ -137,7 +137,7 @@
 		} else {
 			p.Close()
 		}
-		if !pause(ctx, 500*time.Millisecond) {
+		if !ids.Pause(ctx, 500*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
--- a/node/term.go
+++ b/node/term.go
@@ -131,7 +131,7 @@
 	// admissions stand still; jobs go on changing and are watched.
 	types := n.catalog.Load()
 	for types == nil {
-		if !pause(t.ctx, 100*time.Millisecond) {
+		if !ids.Pause(t.ctx, 100*time.Millisecond) {
 			return 0, t.ctx.Err()
 		}
 		types = n.catalog.Load()
@@ -294,7 +294,7 @@
 			return
 		}
 		t.n.log.Debug("job not read", "job", id, "err", err)
-		pause(t.ctx, 300*time.Millisecond)
+		ids.Pause(t.ctx, 300*time.Millisecond)
 	}
 }
 
@@ -311,7 +311,7 @@
 			return
 		}
 		t.n.log.Info("rental unanswered", "booking", r.Request, "err", err)
-		pause(t.ctx, time.Second)
+		ids.Pause(t.ctx, time.Second)
 	}
 }
 
@@ -325,7 +325,7 @@
 			return
 		}
 		t.n.log.Info("return unanswered", "err", err)
-		pause(t.ctx, time.Second)
+		ids.Pause(t.ctx, time.Second)
 	}
 }
 
@@ -337,7 +337,7 @@
 			return fmt.Errorf("watch on jobs: %w", err)
 		}
 		if err != nil {
-			if !pause(t.ctx, 200*time.Millisecond) {
+			if !ids.Pause(t.ctx, 200*time.Millisecond) {
 				return t.ctx.Err()
 			}
 			continue
@@ -368,7 +368,7 @@
 		} else {
 			t.n.log.Debug("machines not listed", "err", err)
 		}
-		if !pause(t.ctx, every) {
+		if !ids.Pause(t.ctx, every) {
 			return t.ctx.Err()
 		}
 	}
