Say once what was said twice; drop what nothing reads

Whether a class is in a hurry and whether a machine takes tasks are asked in one place each. Rentals check a whole job's quota as admission does, instead of taking and giving back. Lost work is counted under the reason itself. Gone: an encoder, a job's field, a result's flag and a worker call's that nothing read, and a condition that could not hold. Tests share their set-up; their assertions and random draws are as before.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -46,10 +46,7 @@
 // Handler answers one request.
 type Handler func(ctx context.Context, op string, body []byte) (any, error)
 
-// Encode writes a body for a handler's answer or a request.
-func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
-
-// Decode reads a body.
+// Decode reads a request's body.
 func Decode(b []byte, v any) error { return cbor.Unmarshal(b, v) }
 
 func writeFrame(w *bufio.Writer, f *frame) error {
--- a/node/term.go
+++ b/node/term.go
@@ -243,7 +243,7 @@
 			continue
 		}
 		t.tasks.Go(func() error {
-			rep, _, err := t.n.workers.Do(t.ctx, addr, d, 2*time.Second)
+			rep, err := t.n.workers.Do(t.ctx, addr, d, 2*time.Second)
 			if err != nil {
 				t.n.log.Debug("direct command unanswered", "host", h, "err", err)
 				rep = nil
@@ -306,8 +306,7 @@
 		switch {
 		case err == nil, errors.Is(err, cloud.ErrNoCapacity), errors.Is(err, cloud.ErrRefused):
 			t.n.log.Info("rental", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(hosts))
-			ok, capacity := err == nil, errors.Is(err, cloud.ErrNoCapacity)
-			t.post(t.ctx, func() { t.core.RentResult(t.n.clock.Now(), r, hosts, ok, capacity) })
+			t.post(t.ctx, func() { t.core.RentResult(t.n.clock.Now(), r, hosts, err == nil) })
 			return
 		}
 		t.n.log.Info("rental unanswered", "booking", r.Request, "err", err)
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -41,11 +41,16 @@
 	zone ids.Zone
 }
 
+// hasty tells whether a job's class must start sooner than a machine boots.
+func (c *Core) hasty(j *job) bool {
+	_, ok := c.opt.Impatient[j.spec.Class]
+	return ok
+}
+
 func (c *Core) shapeOf(j *job) (shape, bool) {
 	s := j.spec
 	// What one job may not use, another of its size may.
-	_, hasty := c.opt.Impatient[s.Class]
-	if s.Spread || s.OneZone || len(s.Types) > 0 || len(j.failedOn) > 0 || hasty && !j.coldOK {
+	if s.Spread || s.OneZone || len(s.Types) > 0 || len(j.failedOn) > 0 || c.hasty(j) && !j.coldOK {
 		return shape{}, false
 	}
 	return shape{res: placement.Of(s), spot: s.Spot, zone: s.Zone}, true
@@ -90,7 +95,7 @@
 			if noRoom := c.admit(j, nominal); noRoom && ok && !j.whole() {
 				full[sh] = true
 			}
-			if nominal && j.mustBorrow(c) {
+			if nominal && c.mustBorrow(j) {
 				borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
 			}
 			if len(j.pending) > 0 {
@@ -128,7 +133,7 @@
 
 // mustBorrow tells whether a job's waiting tasks fit quota, but not within the
 // guarantee.
-func (j *job) mustBorrow(c *Core) bool {
+func (c *Core) mustBorrow(j *job) bool {
 	n := 1
 	if j.whole() {
 		n = len(j.pending)
@@ -151,7 +156,7 @@
 	if whole && !c.fitsQuota(j, nominal, len(j.pending)) {
 		return false
 	}
-	if !whole || !j.spec.OneZone || len(j.active) > 0 {
+	if !whole || !j.spec.OneZone {
 		return c.admitIn(j, nominal, whole)
 	}
 	// The best machine for the first task may stand in a zone that cannot
@@ -220,9 +225,9 @@
 	bestScore := 0.0
 	ref := ids.TaskRef{Job: j.id, Index: index}
 	need := placement.Of(j.spec)
-	_, hasty := c.opt.Impatient[j.spec.Class]
+	hasty := c.hasty(j)
 	for _, m := range c.order {
-		if !c.usable(m) || c.now < m.quarantine || !placement.Allowed(j.spec, m.Site) ||
+		if !c.takesTasks(m) || !placement.Allowed(j.spec, m.Site) ||
 			!need.Within(m.free()) || !j.zones.Admits(j.spec, m.Zone) || m.showsAny(ref) {
 			continue
 		}
@@ -265,7 +270,7 @@
 	if m.Spot {
 		o.SpotRisk = c.spotRisk(j)
 	}
-	_, o.Hasty = c.opt.Impatient[j.spec.Class]
+	o.Hasty = c.hasty(j)
 	if !m.Spot || !o.Cached || j.spec.Service {
 		for _, a := range m.tasks {
 			if a.job.spec.Service && a.stop == stopNone {
@@ -290,7 +295,7 @@
 	r := &room{c: c, coming: map[*machine]placement.Resources{}, over: map[ids.Team]quota.Amount{},
 		owed: map[ids.Team]quota.Amount{}, stopped: map[*assignment]bool{}}
 	for _, m := range c.order {
-		if !c.usable(m) || c.now < m.quarantine {
+		if !c.takesTasks(m) {
 			continue
 		}
 		free := m.free()
@@ -400,7 +405,7 @@
 		return nil, false
 	}
 	need := placement.Of(j.spec)
-	_, hasty := r.c.opt.Impatient[j.spec.Class]
+	hasty := r.c.hasty(j)
 	var best *machine
 	var victims []*assignment
 	bestCost := 0.0
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -94,6 +94,9 @@
 	waiting := c.waiting()
 	for _, nominal := range []bool{true, false} {
 		for _, j := range waiting {
+			if j.whole() && !c.fitsQuota(j, nominal, len(j.pending)) {
+				continue
+			}
 			n := 0
 			for range len(j.pending) - counted[j] {
 				if !c.fitsQuota(j, nominal, 1) {
@@ -103,13 +106,6 @@
 				all = append(all, taken{j.spec.Team, j.amount()})
 				n++
 			}
-			if j.whole() && n < len(j.pending) {
-				for ; n > 0; n-- {
-					last := all[len(all)-1]
-					c.book.Free(last.t, last.m)
-					all = all[:len(all)-1]
-				}
-			}
 			if n > 0 {
 				counted[j] += n
 				p.Add(fleet.Demand{Spec: j.spec, Count: n, Zones: j.zones})
@@ -128,7 +124,7 @@
 	var silent []*machine
 	for _, m := range c.order {
 		switch {
-		case c.usable(m) && c.now >= m.quarantine:
+		case c.takesTasks(m):
 			p.Coming(m.Site, m.free())
 		case m.reported && c.silent(m, c.opt.Report*3) || m.noticeBy != 0:
 			silent = append(silent, m)
@@ -211,9 +207,9 @@
 	}
 }
 
-// RentResult takes the answer to a rental. Capacity tells that the cloud had
-// none; any other failure leaves ok and capacity false.
-func (c *Core) RentResult(now ids.Instant, r wire.Rental, hosts []ids.Host, ok, capacity bool) {
+// RentResult takes the answer to a rental; ok is false if the cloud had none
+// or would not rent.
+func (c *Core) RentResult(now ids.Instant, r wire.Rental, hosts []ids.Host, ok bool) {
 	c.now = now
 	site := placement.Site{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
 	delete(c.renting, site)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -140,7 +140,6 @@
 	failedOn  map[ids.Host]int
 	succeeded int
 	ran       map[ids.Host][]time.Duration // tasks that were seen from start to end
-	known     ids.Instant
 }
 
 func (j *job) over() bool { return j.status != wire.StatusQueued }
@@ -191,7 +190,7 @@
 	spotTime   time.Duration
 	spotLosses int
 
-	lost [stopDrained + 2]loss
+	lost [stopDrained + 1]loss // by what the core had decided, if anything
 
 	// Deposed is set when a worker shows a higher leader's token.
 	deposed bool
@@ -264,7 +263,7 @@
 
 func (c *Core) newJob(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) *job {
 	j := &job{id: id, spec: rec.Spec, stamp: stamp, at: rec.SubmittedMS, status: rec.Status,
-		active: map[int]*assignment{}, zones: placement.Zones{}, known: c.now}
+		active: map[int]*assignment{}, zones: placement.Zones{}}
 	if j.spec == nil {
 		j.spec = &wire.Spec{Tasks: rec.Tasks}
 	}
@@ -342,7 +341,6 @@
 	c.started, c.now = now, now
 	c.lastFleet = now
 	for _, j := range c.jobs {
-		j.known = now
 		switch j.status {
 		case wire.StatusQueued:
 			c.refill(j)
@@ -403,9 +401,6 @@
 func (c *Core) release(a *assignment) {
 	if a.phase == wire.TaskRunning && !a.job.spec.Service {
 		l := &c.lost[a.stop]
-		if a.stop == stopNone {
-			l = &c.lost[len(c.lost)-1]
-		}
 		l.tasks++
 		l.cpuS += c.now.Sub(a.since).Seconds() * a.job.spec.CPUs
 	}
@@ -792,10 +787,8 @@
 		}
 	}
 	fmt.Fprintf(&b, "jobs=%d waiting=%d placed=%d machines=%d usable=%d booting=%d", len(c.jobs), pend, act, len(c.order), up, boot)
-	for i, name := range []string{stopWithdrawn: "withdrawn", stopPreempted: "preempted", stopDrained: "drained", stopDrained + 1: "lost"} {
-		if name != "" {
-			fmt.Fprintf(&b, " %s=%d/%.0f", name, c.lost[i].tasks, c.lost[i].cpuS)
-		}
+	for i, name := range []string{stopNone: "lost", stopWithdrawn: "withdrawn", stopPreempted: "preempted", stopDrained: "drained"} {
+		fmt.Fprintf(&b, " %s=%d/%.0f", name, c.lost[i].tasks, c.lost[i].cpuS)
 	}
 	for _, t := range c.opt.Teams {
 		fmt.Fprintf(&b, " %s=%.0f", t.Name, c.book.Used(t.Name).CPUs)
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -51,6 +51,34 @@
 	b.c.JobSeen(b.now, id, &ledger.Job{Status: wire.StatusQueued, Tasks: spec.Tasks, Spec: &spec, SubmittedMS: int64(len(b.c.jobs))}, ids.Stamp(100+len(b.c.jobs)))
 }
 
+// inherit loads job-1 and its admission record as a predecessor left them.
+func (b *bench) inherit(spec wire.Spec, rec ledger.Slice) {
+	b.t.Helper()
+	spec.Class, spec.Team, spec.CPUs, spec.Image = "c", "red", 2, "i"
+	b.c.LoadJob("job-1", &ledger.Job{Status: wire.StatusQueued, Tasks: spec.Tasks, Spec: &spec}, 3)
+	if err := b.c.LoadSlice("job-1", 0, &rec, 4); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// randomTeams makes three teams that lend the given part of their guarantee.
+func randomTeams(rng *rand.Rand, lend func() float64) []quota.Team {
+	var teams []quota.Team
+	for n := range 3 {
+		nominal := float64(4 * rng.IntN(6))
+		teams = append(teams, quota.Team{Name: ids.Team(fmt.Sprintf("t%d", n)), Nominal: quota.Amount{CPUs: nominal},
+			Limit: quota.Amount{CPUs: nominal + float64(4*rng.IntN(8))}, Lend: quota.Amount{CPUs: nominal * lend()}})
+	}
+	return teams
+}
+
+// randomMachines brings machines up in random zones.
+func (b *bench) randomMachines(rng *rand.Rand, count int) {
+	for n := range count {
+		b.report(ids.Host(fmt.Sprintf("n-%d", n)), []ids.Zone{"a", "b", "c"}[rng.IntN(3)], 0)
+	}
+}
+
 func (b *bench) report(host ids.Host, zone ids.Zone, token ids.Token, tasks ...wire.Task) wire.Orders {
 	b.tick++
 	o, ok := b.c.Report(b.now, &wire.Report{Host: host, Endpoint: string(host), Type: "m", Zone: zone, Tenure: 1, Tick: b.tick,
@@ -86,13 +114,8 @@
 func TestSuccessorKeepsSpreadBeforeItHearsFromMachines(t *testing.T) {
 	for _, zones := range [][]ids.Zone{{"a", "a"}, nil} {
 		b := newBench(t, Options{Predecessor: true, Grace: time.Minute})
-		spec := wire.Spec{Class: "c", Team: "red", Service: true, Spread: true, Tasks: 3, CPUs: 2, Image: "i"}
-		b.c.LoadJob("job-1", &ledger.Job{Status: wire.StatusQueued, Tasks: 3, Spec: &spec}, 3)
-		err := b.c.LoadSlice("job-1", 0, &ledger.Slice{Hosts: []ids.Host{"n-1", "n-2"}, Zones: zones,
-			Tasks: []int{0, 1, 0, 1, 1, 1, 2, 1, -1}}, 4)
-		if err != nil {
-			t.Fatal(err)
-		}
+		b.inherit(wire.Spec{Service: true, Spread: true, Tasks: 3},
+			ledger.Slice{Hosts: []ids.Host{"n-1", "n-2"}, Zones: zones, Tasks: []int{0, 1, 0, 1, 1, 1, 2, 1, -1}})
 		b.c.Begin(b.now)
 		b.report("n-3", "a", 0)
 		b.step()
@@ -168,11 +191,7 @@
 // until its grace and a lease are over, its tasks may run.
 func TestPredecessorsGraceCounts(t *testing.T) {
 	b := newBench(t, Options{Predecessor: true, Grace: time.Minute})
-	spec := wire.Spec{Class: "c", Team: "red", Tasks: 1, CPUs: 2, Image: "i"}
-	b.c.LoadJob("job-1", &ledger.Job{Status: wire.StatusQueued, Tasks: 1, Spec: &spec}, 3)
-	if err := b.c.LoadSlice("job-1", 0, &ledger.Slice{Hosts: []ids.Host{"n-1"}, Zones: []ids.Zone{"a"}, Tasks: []int{0, 1, 0}}, 4); err != nil {
-		t.Fatal(err)
-	}
+	b.inherit(wire.Spec{Tasks: 1}, ledger.Slice{Hosts: []ids.Host{"n-1"}, Zones: []ids.Zone{"a"}, Tasks: []int{0, 1, 0}})
 	b.c.Begin(b.now)
 	for _, step := range []struct {
 		after time.Duration
@@ -367,10 +386,8 @@
 						for _, a := range m.tasks {
 							o.Pinned = o.Pinned || a.job.spec.Service
 						}
-						for _, p := range placedAt {
-							o.Fetching = o.Fetching || p == m
-						}
 						for ref, p := range placedAt {
+							o.Fetching = o.Fetching || p == m
 							o.Pinned = o.Pinned || p == m && c.jobs[ref.Job].spec.Service
 						}
 						if s := placement.Score(j.spec, &o); best == nil || s > bestScore {
@@ -433,17 +450,10 @@
 	placed := 0
 	for seed := range uint64(150) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		var teams []quota.Team
-		for n := range 3 {
-			nominal := float64(4 * rng.IntN(6))
-			teams = append(teams, quota.Team{Name: ids.Team(fmt.Sprintf("t%d", n)), Nominal: quota.Amount{CPUs: nominal},
-				Limit: quota.Amount{CPUs: nominal + float64(4*rng.IntN(8))}, Lend: quota.Amount{CPUs: nominal * float64(rng.IntN(3)) / 2}})
-		}
+		teams := randomTeams(rng, func() float64 { return float64(rng.IntN(3)) / 2 })
 		b := newBench(t, Options{Teams: teams})
 		b.c.Begin(b.now)
-		for n := range 1 + rng.IntN(6) {
-			b.report(ids.Host(fmt.Sprintf("n-%d", n)), []ids.Zone{"a", "b", "c"}[rng.IntN(3)], 0)
-		}
+		b.randomMachines(rng, 1+rng.IntN(6))
 		for round := range 4 {
 			for n := range rng.IntN(6) {
 				spec := wire.Spec{Class: "c", Team: teams[rng.IntN(3)].Name, Priority: wire.Priority(rng.IntN(2)), Tasks: 1 + rng.IntN(7),
@@ -491,17 +501,10 @@
 	stopped := 0
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 2))
-		var teams []quota.Team
-		for n := range 3 {
-			nominal := float64(4 * rng.IntN(6))
-			teams = append(teams, quota.Team{Name: ids.Team(fmt.Sprintf("t%d", n)), Nominal: quota.Amount{CPUs: nominal},
-				Limit: quota.Amount{CPUs: nominal + float64(4*rng.IntN(8))}, Lend: quota.Amount{CPUs: nominal}})
-		}
+		teams := randomTeams(rng, func() float64 { return 1 })
 		b := newBench(t, Options{Teams: teams, Impatient: map[string]time.Duration{"hasty": time.Second}})
 		b.c.Begin(b.now)
-		for n := range 1 + rng.IntN(5) {
-			b.report(ids.Host(fmt.Sprintf("n-%d", n)), []ids.Zone{"a", "b", "c"}[rng.IntN(3)], 0)
-		}
+		b.randomMachines(rng, 1+rng.IntN(5))
 		for round := range 4 {
 			for n := range rng.IntN(5) {
 				spec := wire.Spec{Class: []string{"hasty", "calm"}[rng.IntN(2)], Team: teams[rng.IntN(3)].Name, Priority: wire.Priority(rng.IntN(4)),
@@ -636,11 +639,7 @@
 // it listed, and held its tasks for two minutes.
 func TestMachineThatDiedAtTheTakeoverIsNoticed(t *testing.T) {
 	b := newBench(t, Options{Predecessor: true, Grace: 90 * time.Second, ListLag: 3 * time.Second})
-	spec := wire.Spec{Class: "c", Team: "red", Tasks: 1, CPUs: 2, Image: "i"}
-	b.c.LoadJob("job-1", &ledger.Job{Status: wire.StatusQueued, Tasks: 1, Spec: &spec}, 3)
-	if err := b.c.LoadSlice("job-1", 0, &ledger.Slice{Hosts: []ids.Host{"n-1"}, Zones: []ids.Zone{"a"}, Tasks: []int{0, 1, 0}}, 4); err != nil {
-		t.Fatal(err)
-	}
+	b.inherit(wire.Spec{Tasks: 1}, ledger.Slice{Hosts: []ids.Host{"n-1"}, Zones: []ids.Zone{"a"}, Tasks: []int{0, 1, 0}})
 	b.c.Begin(b.now)
 	for s := range 20 {
 		b.now = b.now.Add(time.Second)
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -266,9 +266,6 @@
 		a.since = c.now
 		if s.state == wire.TaskRunning {
 			c.noteImage(a)
-			if a.m.errors[a.job.id] == 0 && len(a.m.errors) == 0 {
-				a.m.lastError = 0
-			}
 		}
 	}
 }
@@ -653,6 +650,9 @@
 		c.now < m.lastHeard.Add(c.opt.Report*3/2+1500*time.Millisecond)
 }
 
+// takesTasks tells whether a usable machine is not set aside either.
+func (c *Core) takesTasks(m *machine) bool { return c.usable(m) && c.now >= m.quarantine }
+
 // watchMachines handles what time alone brings about.
 func (c *Core) watchMachines() {
 	c.drainNoticed()
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -303,7 +303,7 @@
 	for _, r := range e.Rent {
 		s.after(80*time.Millisecond, func() {
 			hosts := s.rent(r)
-			current(func() { core.RentResult(s.now, r, hosts, len(hosts) > 0, len(hosts) == 0) })()
+			current(func() { core.RentResult(s.now, r, hosts, len(hosts) > 0) })()
 		})
 	}
 	if hosts := e.Return; len(hosts) > 0 {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -41,10 +41,10 @@
 	}
 }
 
-// Do sends commands. Executed tells 200 from 409; the report is the worker's
-// either way. Any error leaves the outcome unknown unless it wraps
+// Do sends commands. Whether they were executed or refused, the report is the
+// worker's after it, and tells. Any error leaves the outcome unknown unless it wraps
 // httpc.ErrNotSent.
-func (c *Client) Do(ctx context.Context, addr string, d wire.Direct, timeout time.Duration) (rep *wire.Report, executed bool, err error) {
+func (c *Client) Do(ctx context.Context, addr string, d wire.Direct, timeout time.Duration) (*wire.Report, error) {
 	if d.Orders == nil {
 		d.Orders = []wire.Order{}
 	}
@@ -53,21 +53,20 @@
 
 // Show asks for the worker's report.
 func (c *Client) Show(ctx context.Context, addr string, timeout time.Duration) (*wire.Report, error) {
-	rep, _, err := c.call(ctx, addr, "GET", "/show", nil, timeout)
-	return rep, err
+	return c.call(ctx, addr, "GET", "/show", nil, timeout)
 }
 
-func (c *Client) call(ctx context.Context, addr, method, path string, body []byte, timeout time.Duration) (*wire.Report, bool, error) {
+func (c *Client) call(ctx context.Context, addr, method, path string, body []byte, timeout time.Duration) (*wire.Report, error) {
 	status, ans, err := c.to(addr).Do(ctx, method, path, body, timeout)
 	if err != nil {
-		return nil, false, fmt.Errorf("worker %s%s: %w", addr, path, err)
+		return nil, fmt.Errorf("worker %s%s: %w", addr, path, err)
 	}
 	if status != 200 && status != 409 {
-		return nil, false, fmt.Errorf("worker %s%s: %w: status %d", addr, path, httpc.ErrNoAnswer, status)
+		return nil, fmt.Errorf("worker %s%s: %w: status %d", addr, path, httpc.ErrNoAnswer, status)
 	}
 	rep := new(wire.Report)
 	if err := wire.Decode(ans, rep); err != nil {
-		return nil, false, fmt.Errorf("worker %s%s: %w: %w", addr, path, httpc.ErrNoAnswer, err)
+		return nil, fmt.Errorf("worker %s%s: %w: %w", addr, path, httpc.ErrNoAnswer, err)
 	}
-	return rep, status == 200, nil
+	return rep, nil
 }
