--- /dev/null
+++ b/cloud/cloud.go
@@ -0,0 +1,129 @@
+// Package cloud is the client of the machine cloud.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"ospreystile.example/ospreystile/httpc"
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/wire"
+)
+
+var (
+	// ErrNoCapacity means that the cloud has no such machine now.
+	ErrNoCapacity = errors.New("no capacity")
+	// ErrTrouble means that the request was not carried out.
+	ErrTrouble = errors.New("cloud unavailable")
+	// ErrUnknown means that the request may have been carried out, or may yet be.
+	ErrUnknown = errors.New("cloud gave no answer")
+	// ErrRefused means that the cloud found the request malformed.
+	ErrRefused = errors.New("cloud refused the request")
+)
+
+// Client talks to the cloud and keeps to its call rate.
+type Client struct {
+	http   *httpc.Client
+	budget *rate.Limiter
+}
+
+// New makes a client for an address with a budget of rps calls a second.
+func New(addr string, rps float64) *Client {
+	return &Client{httpc.New(addr, 8, 4<<20), rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	if err := c.budget.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: budget: %w", ErrTrouble, err)
+	}
+	var raw []byte
+	if in != nil {
+		raw = wire.Encode(in)
+	}
+	status, body, err := c.http.Do(ctx, method, path, raw, 5*time.Second)
+	if errors.Is(err, httpc.ErrNotSent) {
+		return fmt.Errorf("%w: %w", ErrTrouble, err)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch status {
+	case 200:
+		if out == nil {
+			return nil
+		}
+		if err := wire.Decode(body, out); err != nil {
+			return fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+		return nil
+	case 503:
+		var e struct {
+			Error string `msgpack:"error"`
+		}
+		if wire.Decode(body, &e) == nil && e.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("%w: status 503", ErrTrouble)
+	case 429:
+		return fmt.Errorf("%w: status 429", ErrTrouble)
+	case 400:
+		return ErrRefused
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, status)
+}
+
+// Catalog reads the machine types and their current prices.
+func (c *Client) Catalog(ctx context.Context) ([]wire.MachineType, error) {
+	var cat wire.Catalog
+	if err := c.do(ctx, "GET", "/catalog", nil, &cat); err != nil {
+		return nil, err
+	}
+	for _, t := range cat.Types {
+		if t.Name == "" || t.CPUs <= 0 || t.MemoryGB < 0 || t.Price < 0 || t.SpotPrice < 0 || t.BootS < 0 {
+			return nil, fmt.Errorf("%w: malformed machine type %q", ErrUnknown, t.Name)
+		}
+	}
+	return cat.Types, nil
+}
+
+// Rent asks for machines. The same request may be repeated until it is
+// answered; once it succeeded, its name must not serve another.
+func (c *Client) Rent(ctx context.Context, r wire.Rental) ([]ids.Host, error) {
+	var ans wire.Hosts
+	err := c.do(ctx, "POST", "/hosts", r, &ans)
+	return ans.Hosts, err
+}
+
+// MaxReturn is the most machines that one call gives back.
+const MaxReturn = 100
+
+// Return gives machines back. When it succeeds, they are gone.
+func (c *Client) Return(ctx context.Context, hosts []ids.Host) error {
+	return c.do(ctx, "POST", "/hosts/return", wire.Hosts{Hosts: hosts}, nil)
+}
+
+// List reads the whole machine list.
+func (c *Client) List(ctx context.Context) ([]wire.Machine, error) {
+	var all []wire.Machine
+	since := ids.Host("")
+	for {
+		path := "/hosts?page=500"
+		if since != "" {
+			path += "&since=" + url.QueryEscape(string(since))
+		}
+		var page wire.MachinePage
+		if err := c.do(ctx, "GET", path, nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Hosts...)
+		if !page.More || len(page.Hosts) == 0 {
+			return all, nil
+		}
+		since = page.Hosts[len(page.Hosts)-1].Host
+	}
+}
--- /dev/null
+++ b/election/election.go
@@ -0,0 +1,289 @@
+// Package election decides which controller leads: the one that holds the
+// leader's key, which hangs on a short lease in the state service.
+package election
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/statestore"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// Holder is the value of the leader's key.
+type Holder struct {
+	Name        ids.NodeName    `msgpack:"n"`
+	Mesh        string          `msgpack:"m"`
+	Incarnation ids.Incarnation `msgpack:"i"`
+}
+
+// Leader is a holder and the stamp of its key. A larger stamp is a later
+// leader.
+type Leader struct {
+	Holder
+	Stamp ids.Stamp
+}
+
+// Store is what an election needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (statestore.Entry, bool, error)
+	Commit(ctx context.Context, t statestore.Txn) (statestore.Outcome, error)
+	Grant(ctx context.Context, ttl time.Duration) (ids.LeaseID, error)
+	Touch(ctx context.Context, id ids.LeaseID) error
+	Revoke(ctx context.Context, id ids.LeaseID) error
+	Watch(ctx context.Context, prefix string, since ids.Stamp, hold time.Duration) (ids.Stamp, []statestore.Event, error)
+}
+
+// Term is one time of leading. Its context ends when it is over.
+type Term struct {
+	Stamp ids.Stamp
+
+	clock ids.Clock
+	valid atomic.Int64 // ids.Instant until which the key is surely held
+	grace time.Duration
+	end   context.CancelCauseFunc
+}
+
+// Holds tells whether the key is surely held now.
+func (t *Term) Holds() bool { return t.clock.Now() < ids.Instant(t.valid.Load()) }
+
+// MayAnswer tells whether workers may be answered: while the key is held, and
+// for a bounded grace after it, in which the state service may be away for
+// everyone. A successor counts on that bound.
+func (t *Term) MayAnswer() bool {
+	return t.clock.Now() < ids.Instant(t.valid.Load()).Add(t.grace)
+}
+
+// End ends the term.
+func (t *Term) End(cause error) { t.end(cause) }
+
+var (
+	// ErrReplaced ends a term when a later leader is known.
+	ErrReplaced = errors.New("a later leader is known")
+	errLost     = errors.New("the leader's lease ended")
+	errGrace    = errors.New("no contact with the state service for the whole grace")
+)
+
+// Election takes part for one node.
+type Election struct {
+	store Store
+	self  Holder
+	ttl   time.Duration
+	grace time.Duration
+	clock ids.Clock
+	log   *slog.Logger
+	lead  func(ctx context.Context, t *Term) error
+
+	mu     sync.Mutex
+	leader Leader
+	term   *Term
+}
+
+// New prepares an election. lead is run for each term, until its context ends.
+func New(store Store, self Holder, ttl, grace time.Duration, clock ids.Clock, log *slog.Logger,
+	lead func(context.Context, *Term) error) *Election {
+	return &Election{store: store, self: self, ttl: ttl, grace: grace, clock: clock, log: log, lead: lead}
+}
+
+// Leader is the latest leader that is known; ok is false while there is none.
+func (e *Election) Leader() (l Leader, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader, e.leader.Name != ""
+}
+
+// Term is the node's own term, or nil.
+func (e *Election) Term() *Term {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term
+}
+
+// Observe takes what a peer or the state service says about the leader.
+func (e *Election) Observe(l Leader) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if l.Stamp <= e.leader.Stamp {
+		return
+	}
+	e.leader = l
+	if e.term != nil && l.Stamp > e.term.Stamp {
+		e.term.End(ErrReplaced)
+	}
+}
+
+// forget drops a leader whose key is gone.
+func (e *Election) forget(stamp ids.Stamp) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leader.Stamp <= stamp {
+		e.leader = Leader{Stamp: e.leader.Stamp}
+	}
+}
+
+// Run takes part until the context ends.
+func (e *Election) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := e.round(ctx); err != nil && ctx.Err() == nil {
+			e.log.Debug("election round", "err", err)
+			pause(ctx, 200*time.Millisecond+time.Duration(rand.IntN(100))*time.Millisecond)
+		}
+	}
+	return ctx.Err()
+}
+
+// round looks at the key once: it waits for a change if someone else holds
+// it, and tries to take it if nobody does.
+func (e *Election) round(ctx context.Context) error {
+	entry, found, err := e.store.Get(ctx, ledger.LeaderKey)
+	if err != nil {
+		return err
+	}
+	var guard ids.Stamp
+	if found {
+		var h Holder
+		if err := wire.Decode(entry.Value, &h); err != nil {
+			return fmt.Errorf("leader's key: %w", err)
+		}
+		if h.Name != e.self.Name || h.Incarnation == e.self.Incarnation {
+			e.Observe(Leader{h, entry.Stamp})
+			return e.await(ctx, entry.Stamp)
+		}
+		// The key names an earlier process of this very node. It is dead, so
+		// there is no need to wait for its lease.
+		guard = entry.Stamp
+	}
+	return e.campaign(ctx, guard)
+}
+
+// await returns when the key changes.
+func (e *Election) await(ctx context.Context, since ids.Stamp) error {
+	for {
+		epoch, events, err := e.store.Watch(ctx, ledger.LeaderKey, since, 10*time.Second)
+		if errors.Is(err, statestore.ErrTooOld) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for _, ev := range events {
+			if ev.Drop == ledger.LeaderKey {
+				e.forget(ev.Stamp)
+			}
+			if ev.Drop == ledger.LeaderKey || ev.Write == ledger.LeaderKey {
+				return nil
+			}
+		}
+		since = max(since, epoch)
+	}
+}
+
+func (e *Election) campaign(ctx context.Context, guard ids.Stamp) error {
+	asked := e.clock.Now()
+	lease, err := e.store.Grant(ctx, e.ttl)
+	if err != nil {
+		return err
+	}
+	t := &Term{clock: e.clock, grace: e.grace}
+	t.valid.Store(int64(e.validity(asked)))
+	txn := statestore.Txn{
+		Guards: []statestore.Guard{{Key: ledger.LeaderKey, Stamp: guard}},
+		Apply:  []statestore.Op{{Write: ledger.LeaderKey, Value: e.self, Lease: lease}},
+	}
+	out, err := e.store.Commit(ctx, txn)
+	if err != nil || !out.Applied {
+		// Without an answer the key may be ours. The next round would wait
+		// for it to change, so give the lease up: then it surely goes.
+		revoke, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
+		_ = e.store.Revoke(revoke, lease)
+		return err
+	}
+	t.Stamp = out.Epoch
+	return e.hold(ctx, t, lease)
+}
+
+// validity is until when a lease taken or renewed at a time is surely alive.
+func (e *Election) validity(asked ids.Instant) ids.Instant {
+	return asked.Add(e.ttl - e.ttl/500 - 50*time.Millisecond)
+}
+
+// hold leads until the term is over.
+func (e *Election) hold(ctx context.Context, t *Term, lease ids.LeaseID) error {
+	tctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	t.end = end
+	e.mu.Lock()
+	e.term = t
+	if t.Stamp > e.leader.Stamp {
+		e.leader = Leader{e.self, t.Stamp}
+	}
+	e.mu.Unlock()
+	e.log.Info("leading", "stamp", t.Stamp)
+
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		err := e.lead(tctx, t)
+		if err == nil {
+			err = errors.New("the term's work ended")
+		}
+		end(err)
+	}()
+	e.renew(tctx, t, lease)
+	<-done
+
+	cause := context.Cause(tctx)
+	e.log.Info("no longer leading", "stamp", t.Stamp, "cause", cause)
+	e.mu.Lock()
+	e.term = nil
+	if e.leader.Stamp == t.Stamp {
+		e.leader = Leader{Stamp: t.Stamp}
+	}
+	e.mu.Unlock()
+	revoke, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	_ = e.store.Revoke(revoke, lease)
+	pause(ctx, 100*time.Millisecond)
+	return nil
+}
+
+// renew keeps the lease until the term is over.
+func (e *Election) renew(ctx context.Context, t *Term, lease ids.LeaseID) {
+	for ctx.Err() == nil {
+		asked := e.clock.Now()
+		err := e.store.Touch(ctx, lease)
+		switch {
+		case err == nil:
+			t.valid.Store(int64(e.validity(asked)))
+		case errors.Is(err, statestore.ErrNoLease):
+			t.End(errLost)
+			return
+		case !t.MayAnswer():
+			t.End(errGrace)
+			return
+		}
+		wait := e.ttl / 4
+		if err != nil {
+			wait = e.ttl / 10
+		}
+		pause(ctx, wait)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/ledger/committer.go
@@ -0,0 +1,282 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/statestore"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// Store is what the committer needs of the state service.
+type Store interface {
+	Commit(ctx context.Context, t statestore.Txn) (statestore.Outcome, error)
+	Get(ctx context.Context, key string) (statestore.Entry, bool, error)
+}
+
+// Limits are the state service's limits for one transaction.
+type Limits struct {
+	Ops   int
+	Bytes int
+}
+
+// item is a change that waits.
+type item struct {
+	change Change
+	size   int
+	done   func(Outcome, error)
+	until  time.Time // zero: as long as the committer runs
+}
+
+// Committer sends changes in order, as many in one transaction as fit, one
+// transaction at a time. With a fence, every transaction also guards it.
+type Committer struct {
+	store  Store
+	limits Limits
+	fence  *statestore.Guard
+	log    *slog.Logger
+
+	mu    sync.Mutex
+	queue []item
+	wake  chan struct{}
+}
+
+// NewCommitter makes a committer; fence may be nil.
+func NewCommitter(store Store, limits Limits, fence *statestore.Guard, log *slog.Logger) *Committer {
+	return &Committer{store: store, limits: limits, fence: fence, log: log, wake: make(chan struct{}, 1)}
+}
+
+// ErrFenced means that this leader has been replaced.
+var ErrFenced = errors.New("the leader's key has moved on")
+
+// Submit queues a change. done is called from the committer's goroutine with
+// the definite outcome, or with an error if it is not known by the time
+// given, by the end of the committer, or because the service did not take it.
+func (c *Committer) Submit(ch Change, until time.Time, done func(Outcome, error)) {
+	size := 0
+	for _, op := range ch.Apply {
+		size += len(op.Write) + len(op.Drop) + 40
+		if op.Value != nil {
+			size += 3 * len(wire.Encode(op.Value)) / 2
+		}
+	}
+	for _, g := range ch.Guards {
+		size += len(g.Key) + 40
+	}
+	c.mu.Lock()
+	c.queue = append(c.queue, item{ch, size, done, until})
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Waiting is the number of queued changes.
+func (c *Committer) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue)
+}
+
+// take removes as many changes as one transaction may hold.
+func (c *Committer) take() []item {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ops, bytes, n, guards := 0, 0, 0, 1
+	for _, it := range c.queue {
+		ops += len(it.change.Apply)
+		bytes += it.size
+		guards += len(it.change.Guards)
+		if n > 0 && (ops > c.limits.Ops || bytes > c.limits.Bytes || guards > 4*c.limits.Ops) {
+			break
+		}
+		n++
+	}
+	batch := slices.Clone(c.queue[:n])
+	c.queue = slices.Delete(c.queue, 0, n)
+	return batch
+}
+
+// Run commits until the context ends or the fence is found to have moved; it
+// then returns ErrFenced.
+func (c *Committer) Run(ctx context.Context) error {
+	for {
+		batch := c.take()
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-c.wake:
+			}
+			continue
+		}
+		if err := c.commit(ctx, batch); err != nil {
+			return err
+		}
+	}
+}
+
+// commit brings one batch to a definite end. Changes whose own guards failed
+// are answered; the rest goes again without them.
+func (c *Committer) commit(ctx context.Context, batch []item) error {
+	for len(batch) > 0 {
+		out, rest, err := c.send(ctx, batch)
+		if err != nil {
+			for _, it := range rest {
+				it.done(Outcome{Change: it.change}, err)
+			}
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return nil
+		}
+		if out.Applied {
+			for _, it := range rest {
+				it.done(Outcome{Change: it.change, Applied: true, Stamp: out.Epoch}, nil)
+			}
+			return nil
+		}
+		if c.fence != nil && slices.Contains(out.Failed, c.fence.Key) {
+			for _, it := range rest {
+				it.done(Outcome{Change: it.change}, ErrFenced)
+			}
+			return ErrFenced
+		}
+		var again []item
+		for _, it := range rest {
+			var failed []string
+			for _, g := range it.change.Guards {
+				if slices.Contains(out.Failed, g.Key) {
+					failed = append(failed, g.Key)
+				}
+			}
+			if failed == nil {
+				again = append(again, it)
+				continue
+			}
+			it.done(Outcome{Change: it.change, Failed: failed}, nil)
+		}
+		if len(again) == len(rest) {
+			// A refusal that names no guard of ours cannot be acted on.
+			c.log.Warn("transaction refused without a known key", "failed", out.Failed)
+			if !sleep(ctx, 200*time.Millisecond) {
+				return ctx.Err()
+			}
+		}
+		batch = again
+	}
+	return nil
+}
+
+// send repeats a transaction until its outcome is definite. An answer that
+// was lost leaves it open whether the transaction was applied, or will be
+// later. The same transaction again settles that: its guards let it through
+// at most once, and after a refusal the nonce of what it wrote tells whether
+// it was this very transaction that moved them.
+func (c *Committer) send(ctx context.Context, batch []item) (statestore.Outcome, []item, error) {
+	txn := transaction(c.fence, batch)
+	unknown := false
+	for wait := 50 * time.Millisecond; ; wait = min(2*wait, 500*time.Millisecond) {
+		out, err := c.store.Commit(ctx, txn)
+		switch {
+		case err == nil && !out.Applied && unknown:
+			applied, stamp, rerr := c.settle(ctx, txn)
+			if rerr == nil {
+				if applied {
+					return statestore.Outcome{Applied: true, Epoch: stamp}, batch, nil
+				}
+				return out, batch, nil
+			}
+			err = rerr
+		case err == nil:
+			return out, batch, nil
+		case errors.Is(err, statestore.ErrBadAnswer):
+			return out, batch, err
+		case errors.Is(err, statestore.ErrUnknown):
+			unknown = true
+		}
+		if ctx.Err() != nil {
+			return out, batch, ctx.Err()
+		}
+		if !unknown {
+			// Nothing was executed: those who would rather be told now are.
+			var rest []item
+			for _, it := range batch {
+				if it.until.IsZero() {
+					rest = append(rest, it)
+				} else {
+					it.done(Outcome{Change: it.change}, err)
+				}
+			}
+			if len(rest) < len(batch) {
+				if len(rest) == 0 {
+					return out, nil, err
+				}
+				return c.send(ctx, rest)
+			}
+		} else if len(batch) > 0 && !batch[0].until.IsZero() && time.Now().After(batch[0].until) {
+			return out, batch, err
+		}
+		c.log.Debug("commit not settled", "err", err, "changes", len(batch))
+		if !sleep(ctx, wait) {
+			return out, batch, ctx.Err()
+		}
+	}
+}
+
+func transaction(fence *statestore.Guard, batch []item) statestore.Txn {
+	var txn statestore.Txn
+	if fence != nil {
+		txn.Guards = append(txn.Guards, *fence)
+	}
+	for _, it := range batch {
+		txn.Guards = append(txn.Guards, it.change.Guards...)
+		txn.Apply = append(txn.Apply, it.change.Apply...)
+	}
+	return txn
+}
+
+// settle tells whether a transaction of unknown outcome was applied, once a
+// repeat of it has been refused.
+func (c *Committer) settle(ctx context.Context, txn statestore.Txn) (bool, ids.Stamp, error) {
+	for _, op := range txn.Apply {
+		if op.Write == "" {
+			continue
+		}
+		e, found, err := c.store.Get(ctx, op.Write)
+		if err != nil {
+			return false, 0, err
+		}
+		var mark, ours struct {
+			Nonce uint64 `msgpack:"w"`
+		}
+		if err := wire.Decode(wire.Encode(op.Value), &ours); err != nil {
+			return false, 0, err
+		}
+		if !found || wire.Decode(e.Value, &mark) != nil || mark.Nonce != ours.Nonce {
+			return false, 0, nil
+		}
+		return true, e.Stamp, nil
+	}
+	// Only drops: what they drop is gone if they were applied, and nobody
+	// else drops it.
+	e, found, err := c.store.Get(ctx, txn.Apply[0].Drop)
+	return err == nil && !found, e.Stamp, err
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/ledger/records.go
@@ -0,0 +1,88 @@
+// Package ledger holds the durable records in the state service and commits
+// changes to them: guarded, batched, and with unknown outcomes settled.
+package ledger
+
+import (
+	"fmt"
+	"strings"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/statestore"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// Prefixes and names of keys.
+const (
+	JobPrefix       = "jobs/"
+	AdmissionPrefix = "admissions/"
+	LeaderKey       = "leader"
+	FleetKey        = "fleet"
+)
+
+// JobKey is the key of a job's record.
+func JobKey(id ids.JobID) string { return JobPrefix + string(id) }
+
+// AdmissionKey is the key of one slice of a job's admissions. Numbers are
+// padded so that slices list in order.
+func AdmissionKey(id ids.JobID, n int) string {
+	return fmt.Sprintf("%s%s/%05d", AdmissionPrefix, id, n)
+}
+
+// ParseAdmissionKey reads a slice's key.
+func ParseAdmissionKey(key string) (ids.JobID, int, bool) {
+	rest, ok := strings.CutPrefix(key, AdmissionPrefix)
+	i := strings.LastIndexByte(rest, '/')
+	if !ok || i <= 0 {
+		return "", 0, false
+	}
+	var n int
+	if _, err := fmt.Sscanf(rest[i+1:], "%d", &n); err != nil || n < 0 {
+		return "", 0, false
+	}
+	return ids.JobID(rest[:i]), n, true
+}
+
+// Job is the durable record of a job. Status is queued, done or withdrawn:
+// whether tasks run is not kept here.
+type Job struct {
+	// Nonce names this very write, as in Slice.
+	Nonce  uint64     `msgpack:"w"`
+	Status string     `msgpack:"s"`
+	Tasks  int        `msgpack:"n"`
+	Spec   *wire.Spec `msgpack:"p,omitempty"`
+	// SubmittedMS is the time of day of the submission; jobs go by it.
+	SubmittedMS int64 `msgpack:"t,omitempty"`
+}
+
+// Over tells whether the job is done or withdrawn, for good.
+func (j *Job) Over() bool { return j.Status == wire.StatusDone || j.Status == wire.StatusWithdrawn }
+
+// Slice is the durable record of some of a job's tasks: where each was
+// admitted and with which attempt. It is committed before any task of it is
+// started, so a task can be only where its record says.
+type Slice struct {
+	// Nonce names this very write, so that one whose answer was lost is
+	// recognised.
+	Nonce uint64     `msgpack:"w"`
+	Hosts []ids.Host `msgpack:"h"`
+	// Tasks holds triples: task, last attempt, and place in Hosts or -1.
+	Tasks []int `msgpack:"t"`
+	// Done holds the tasks that completed.
+	Done []int `msgpack:"d,omitempty"`
+}
+
+// Change is one indivisible change to the records.
+type Change struct {
+	ID     uint64
+	Guards []statestore.Guard
+	Apply  []statestore.Op
+}
+
+// Outcome tells what became of a change. A change that was not applied names
+// the keys whose versions had moved on.
+type Outcome struct {
+	Change  Change
+	Applied bool
+	Stamp   ids.Stamp
+	Failed  []string
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,172 @@
+// Package node wires one controller together and runs it.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"ospreystile.example/ospreystile/cloud"
+	"ospreystile.example/ospreystile/config"
+	"ospreystile.example/ospreystile/election"
+	"ospreystile.example/ospreystile/httpc"
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/mesh"
+	"ospreystile.example/ospreystile/server"
+	"ospreystile.example/ospreystile/statestore"
+	"ospreystile.example/ospreystile/wire"
+	"ospreystile.example/ospreystile/worker"
+)
+
+// Node is one controller.
+type Node struct {
+	cfg   *config.Platform
+	op    *config.Operator
+	log   *slog.Logger
+	clock ids.Clock
+
+	cloud   *cloud.Client
+	workers *worker.Client
+	peers   []*peer
+
+	stateHTTP *httpc.Client
+	health    stateHealth
+	// leaderState goes straight to the state service; userState takes the way
+	// through a peer when that one refuses this node alone.
+	leaderState *statestore.Client
+	userState   *statestore.Client
+	intake      *ledger.Committer
+
+	election *election.Election
+	catalog  atomic.Pointer[[]wire.MachineType]
+	term     atomic.Pointer[term]
+
+	ended   endedJobs
+	relayed relays
+}
+
+// New makes a controller from its settings.
+func New(cfg *config.Platform, op *config.Operator, log *slog.Logger) *Node {
+	n := &Node{cfg: cfg, op: op, log: log, clock: ids.Steady()}
+	s := &cfg.Settings
+	n.cloud = cloud.New(cfg.External.Cloud, s.Cloud.RPS)
+	n.workers = worker.New()
+	n.stateHTTP = httpc.New(cfg.External.State, 64, 16<<20)
+	for _, p := range cfg.Seeds {
+		n.peers = append(n.peers, &peer{Peer: mesh.NewPeer(p.Name, p.Address)})
+	}
+	nodes := float64(len(cfg.Seeds) + 1)
+	direct := &directRoute{n}
+	n.leaderState = statestore.New(direct, s.State.RPS*0.25)
+	n.userState = statestore.New(&userRoute{n, direct}, s.State.RPS*0.65/nodes)
+	n.intake = ledger.NewCommitter(n.userState, n.limits(), nil, log)
+	self := election.Holder{Name: cfg.HostName, Mesh: cfg.MeshAddr, Incarnation: ids.Incarnation(rand.Uint64())}
+	n.election = election.New(n.leaderState.Urgent(), self, op.LeaseTTL(), op.Grace(), n.clock, log, n.lead)
+	n.ended.jobs = map[ids.JobID]wire.JobStatus{}
+	n.relayed.until = map[ids.Host]*relay{}
+	return n
+}
+
+func (n *Node) limits() ledger.Limits {
+	return ledger.Limits{Ops: n.cfg.Settings.State.TxnOps, Bytes: 48 << 10}
+}
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	// Two thirds of what the platform grants: stacks, buffers and the
+	// runtime's own take the rest.
+	debug.SetMemoryLimit(int64(n.cfg.Settings.Resources.RAMMB * 0.66 * (1 << 20)))
+	api, err := net.Listen("tcp4", n.cfg.APIAddr)
+	if err != nil {
+		return fmt.Errorf("api_addr: %w", err)
+	}
+	meshLn, err := net.Listen("tcp4", n.cfg.MeshAddr)
+	if err != nil {
+		return fmt.Errorf("mesh_addr: %w", err)
+	}
+	// Outgoing connections, peers and the runtime need sockets too.
+	conns := max(16, n.cfg.Settings.Resources.Sockets*3/4)
+	app := server.New(n, conns, n.log)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return server.Serve(ctx, app, api) })
+	g.Go(func() error { return mesh.Serve(ctx, meshLn, n.handle, n.log) })
+	g.Go(func() error { return n.election.Run(ctx) })
+	g.Go(func() error { return n.intake.Run(ctx) })
+	g.Go(func() error { return n.readCatalog(ctx) })
+	for _, p := range n.peers {
+		g.Go(func() error { return n.gossip(ctx, p) })
+	}
+	n.log.Info("serving", "host", n.cfg.HostName, "api", n.cfg.APIAddr, "mesh", n.cfg.MeshAddr)
+	err = g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// readCatalog keeps the machine types and their prices.
+func (n *Node) readCatalog(ctx context.Context) error {
+	for {
+		wait := 30 * time.Second
+		types, err := n.cloud.Catalog(ctx)
+		if err != nil {
+			n.log.Info("catalog not read", "err", err)
+			wait = time.Second
+		} else {
+			n.catalog.Store(&types)
+			if t := n.term.Load(); t != nil {
+				t.post(ctx, func() { t.core.SetCatalog(types) })
+			}
+		}
+		if !pause(ctx, wait) {
+			return ctx.Err()
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// endedJobs remembers jobs that are over. That is final, so any node may say
+// it at any time.
+type endedJobs struct {
+	mu   sync.Mutex
+	jobs map[ids.JobID]wire.JobStatus
+}
+
+// endedMost bounds the memory; a job that was dropped is read again.
+const endedMost = 20_000
+
+func (e *endedJobs) get(id ids.JobID) (wire.JobStatus, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.jobs[id]
+	return s, ok
+}
+
+func (e *endedJobs) put(s wire.JobStatus) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.jobs) >= endedMost {
+		clear(e.jobs)
+	}
+	e.jobs[s.ID] = s
+}
--- /dev/null
+++ b/node/service.go
@@ -0,0 +1,402 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/mesh"
+	"ospreystile.example/ospreystile/scheduler/placement"
+	"ospreystile.example/ospreystile/scheduler/quota"
+	"ospreystile.example/ospreystile/server"
+	"ospreystile.example/ospreystile/statestore"
+	"ospreystile.example/ospreystile/wire"
+)
+
+const (
+	retrySoon = time.Second
+	// userTime is how long a user's request may take here, of the 5 s that
+	// users wait.
+	userTime = 3500 * time.Millisecond
+	// pollTime is the same for polls, of 2 s.
+	pollTime = 1500 * time.Millisecond
+	// intakeMost bounds the submissions that wait for a commit.
+	intakeMost = 128
+)
+
+// Healthy implements server.Service. A node without the catalog cannot judge
+// submissions yet.
+func (n *Node) Healthy() bool { return n.catalog.Load() != nil }
+
+// canRun tells whether a job could ever run here.
+func (n *Node) canRun(s *wire.Spec, types []wire.MachineType) bool {
+	for i := range n.cfg.Settings.Teams {
+		t := &n.cfg.Settings.Teams[i]
+		if t.Name != s.Team {
+			continue
+		}
+		need := quota.Amount{CPUs: s.CPUs, GPUs: s.GPUs}
+		if s.Service {
+			need = need.Times(s.Tasks)
+		}
+		if !need.Within(quota.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}) {
+			return false
+		}
+		return slices.ContainsFunc(types, func(t wire.MachineType) bool {
+			return placement.Fits(s, &t) && (s.Zone == "" || slices.Contains(t.Zones, s.Zone))
+		})
+	}
+	return false
+}
+
+// Submit implements server.Service.
+func (n *Node) Submit(ctx context.Context, id ids.JobID, spec *wire.Spec) server.Answer {
+	if s, ok := n.ended.get(id); ok {
+		return server.Answer{Code: 200, Body: s}
+	}
+	types := n.catalog.Load()
+	if types == nil {
+		return server.Later(retrySoon)
+	}
+	ctx, cancel := context.WithTimeout(ctx, userTime)
+	defer cancel()
+	if !n.canRun(spec, *types) {
+		// A job that was accepted stays so, whatever has changed since.
+		if a := n.Status(ctx, id); a.Code != 404 {
+			return a
+		}
+		return server.Answer{Code: 422}
+	}
+	// Names that no machine type has would only make the record larger.
+	spec.Types = slices.DeleteFunc(spec.Types, func(name ids.MachineType) bool {
+		return !slices.ContainsFunc(*types, func(t wire.MachineType) bool { return t.Name == name })
+	})
+	if n.intake.Waiting() >= intakeMost {
+		return server.Later(retrySoon)
+	}
+	rec := ledger.Job{Nonce: rand.Uint64(), Status: wire.StatusQueued, Tasks: spec.Tasks, Spec: spec,
+		SubmittedMS: time.Now().UnixMilli()}
+	out, err := n.commit(ctx, ledger.SubmitChange(id, rec))
+	if err != nil {
+		n.log.Debug("submission not taken", "job", id, "err", err)
+		return server.Later(retrySoon)
+	}
+	if out.Applied {
+		n.announce(id, &rec, out.Stamp)
+		return server.Answer{Code: 201, Body: wire.JobStatus{ID: id, Status: wire.StatusQueued}}
+	}
+	return n.Status(ctx, id)
+}
+
+// commit brings one user's change to its outcome, or to an error after which
+// the user must ask again.
+func (n *Node) commit(ctx context.Context, ch ledger.Change) (ledger.Outcome, error) {
+	type result struct {
+		out ledger.Outcome
+		err error
+	}
+	done := make(chan result, 1)
+	until, _ := ctx.Deadline()
+	n.intake.Submit(ch, until, func(o ledger.Outcome, err error) { done <- result{o, err} })
+	select {
+	case r := <-done:
+		return r.out, r.err
+	case <-ctx.Done():
+		return ledger.Outcome{}, ctx.Err()
+	}
+}
+
+// Status implements server.Service. What is over may be told from memory;
+// everything else is read, since another node may have told something newer.
+func (n *Node) Status(ctx context.Context, id ids.JobID) server.Answer {
+	if s, ok := n.ended.get(id); ok {
+		return server.Answer{Code: 200, Body: s}
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollTime)
+	defer cancel()
+	rec, _, found, err := n.readJob(ctx, id)
+	if err != nil {
+		n.log.Debug("job not read", "job", id, "err", err)
+		return server.Later(retrySoon)
+	}
+	if !found {
+		return server.Answer{Code: 404}
+	}
+	s := wire.JobStatus{ID: id, Status: rec.Status}
+	if rec.Over() {
+		return server.Answer{Code: 200, Body: n.over(id, rec)}
+	}
+	s.Done, s.Running = n.progress(ctx, id)
+	if s.Running > 0 {
+		s.Status = wire.StatusRunning
+	}
+	return server.Answer{Code: 200, Body: s}
+}
+
+func (n *Node) over(id ids.JobID, rec *ledger.Job) wire.JobStatus {
+	s := wire.JobStatus{ID: id, Status: rec.Status}
+	if rec.Status == wire.StatusDone {
+		s.Done = rec.Tasks
+	}
+	n.ended.put(s)
+	return s
+}
+
+func (n *Node) readJob(ctx context.Context, id ids.JobID) (*ledger.Job, ids.Stamp, bool, error) {
+	e, found, err := n.userState.Get(ctx, ledger.JobKey(id))
+	if err != nil || !found {
+		return nil, 0, false, err
+	}
+	rec := new(ledger.Job)
+	if err := wire.Decode(e.Value, rec); err != nil {
+		return nil, 0, false, err
+	}
+	return rec, e.Stamp, true, nil
+}
+
+// progress asks the leader how many tasks are done and running. It is for
+// display; without an answer nothing is known to run.
+func (n *Node) progress(ctx context.Context, id ids.JobID) (done, running int) {
+	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+	defer cancel()
+	if t := n.term.Load(); t != nil {
+		t.ask(ctx, func() {
+			s, _ := t.core.Status(id)
+			done, running = s.Done, s.Running
+		})
+		return done, running
+	}
+	if l, ok := n.election.Leader(); ok {
+		if p := n.peerNamed(l.Name); p != nil {
+			var ans progress
+			if p.Call(ctx, "progress", id, &ans) == nil {
+				return ans.Done, ans.Running
+			}
+		}
+	}
+	return 0, 0
+}
+
+type progress struct {
+	Done    int `cbor:"1,keyasint"`
+	Running int `cbor:"2,keyasint"`
+}
+
+// Withdraw implements server.Service.
+func (n *Node) Withdraw(ctx context.Context, id ids.JobID) server.Answer {
+	if s, ok := n.ended.get(id); ok {
+		return server.Answer{Code: 200, Body: s}
+	}
+	ctx, cancel := context.WithTimeout(ctx, userTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		rec, stamp, found, err := n.readJob(ctx, id)
+		if err != nil {
+			return server.Later(retrySoon)
+		}
+		if !found {
+			return server.Answer{Code: 404}
+		}
+		if rec.Over() {
+			return server.Answer{Code: 200, Body: n.over(id, rec)}
+		}
+		out, err := n.commit(ctx, ledger.WithdrawChange(id, stamp, rand.Uint64(), *rec))
+		if err != nil {
+			return server.Later(retrySoon)
+		}
+		if out.Applied {
+			rec.Status = wire.StatusWithdrawn
+			n.announce(id, rec, out.Stamp)
+			return server.Answer{Code: 200, Body: n.over(id, rec)}
+		}
+	}
+	return server.Later(retrySoon)
+}
+
+// announcement tells the leader about a job at once. The leader's watch finds
+// it too, only later.
+type announcement struct {
+	ID    ids.JobID `cbor:"1,keyasint"`
+	Rec   []byte    `cbor:"2,keyasint"`
+	Stamp ids.Stamp `cbor:"3,keyasint"`
+}
+
+func (n *Node) announce(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) {
+	if t := n.term.Load(); t != nil {
+		go t.post(t.ctx, func() { t.core.JobSeen(n.clock.Now(), id, rec, stamp) })
+		return
+	}
+	l, ok := n.election.Leader()
+	if !ok {
+		return
+	}
+	if p := n.peerNamed(l.Name); p != nil {
+		raw := wire.Encode(rec)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			if err := p.Call(ctx, "job", announcement{id, raw, stamp}, nil); err != nil {
+				n.log.Debug("not announced", "job", id, "err", err)
+			}
+		}()
+	}
+}
+
+// relays remembers which workers cannot reach the leader themselves.
+type relays struct {
+	mu    sync.Mutex
+	until map[ids.Host]*relay
+}
+
+type relay struct {
+	sentAway ids.Instant // when it was last told to go to the leader
+	until    ids.Instant // its reports are passed on until then
+}
+
+const (
+	// A worker that was sent to the leader and is back this soon did not
+	// reach it.
+	cameBack = 12 * time.Second
+	// relayFor is how long its reports are passed on before it is sent to the
+	// leader again.
+	relayFor = 45 * time.Second
+)
+
+// passOn tells whether a worker's report should be passed on to the leader
+// rather than the worker be sent there.
+func (r *relays) passOn(h ids.Host, now ids.Instant) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.until) > 10_000 {
+		clear(r.until)
+	}
+	e := r.until[h]
+	if e == nil {
+		e = &relay{}
+		r.until[h] = e
+	}
+	if now < e.until {
+		return true
+	}
+	if e.until == 0 && e.sentAway != 0 && now < e.sentAway.Add(cameBack) {
+		e.until = now.Add(relayFor)
+		return true
+	}
+	e.until = 0
+	e.sentAway = now
+	return false
+}
+
+// Hello implements server.Service.
+func (n *Node) Hello(ctx context.Context, raw []byte, rep *wire.Report) server.Answer {
+	if t := n.term.Load(); t != nil && t.key.MayAnswer() {
+		return n.report(ctx, t, rep)
+	}
+	l, ok := n.election.Leader()
+	if !ok || l.Name == n.cfg.HostName {
+		return server.Answer{Code: 503}
+	}
+	p := n.peerNamed(l.Name)
+	if p == nil || !n.relayed.passOn(rep.Host, n.clock.Now()) {
+		return server.Answer{Code: 421, Body: wire.Redirect{Leader: l.Name}}
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	var ans stateAnswer
+	if err := p.Call(ctx, "report", raw, &ans); err != nil {
+		n.log.Debug("report not passed on", "host", rep.Host, "err", err)
+		return server.Answer{Code: 503}
+	}
+	if ans.Status != 200 {
+		return server.Answer{Code: 503}
+	}
+	return server.Answer{Code: 200, Body: ans.Body}
+}
+
+// report gives a worker's report to the leader's core.
+func (n *Node) report(ctx context.Context, t *term, rep *wire.Report) server.Answer {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	var orders wire.Orders
+	var ok bool
+	if !t.ask(ctx, func() { orders, ok = t.core.Report(n.clock.Now(), rep, false) }) || !ok || !t.key.MayAnswer() {
+		return server.Answer{Code: 503}
+	}
+	return server.Answer{Code: 200, Body: orders}
+}
+
+var errNotLeading = errors.New("not leading")
+
+// handle answers the other controllers.
+func (n *Node) handle(ctx context.Context, op string, body []byte) (any, error) {
+	switch op {
+	case "ping":
+		var p ping
+		if err := mesh.Decode(body, &p); err != nil {
+			return nil, err
+		}
+		n.pinged(p)
+		return n.ping(), nil
+	case "state":
+		var c stateCall
+		if err := mesh.Decode(body, &c); err != nil {
+			return nil, err
+		}
+		status, ans, err := (&directRoute{n}).Do(ctx, c.Method, c.Path, c.Body, time.Duration(c.TimeoutMS)*time.Millisecond)
+		if err != nil {
+			return stateAnswer{NotSent: statestore.NotSent(err), Unknown: !statestore.NotSent(err)}, nil
+		}
+		return stateAnswer{Status: status, Body: ans}, nil
+	}
+	t := n.term.Load()
+	if t == nil || !t.key.MayAnswer() {
+		return nil, errNotLeading
+	}
+	switch op {
+	case "progress":
+		var id ids.JobID
+		if err := mesh.Decode(body, &id); err != nil {
+			return nil, err
+		}
+		var ans progress
+		if !t.ask(ctx, func() {
+			s, _ := t.core.Status(id)
+			ans = progress{s.Done, s.Running}
+		}) {
+			return nil, errNotLeading
+		}
+		return ans, nil
+	case "job":
+		var a announcement
+		if err := mesh.Decode(body, &a); err != nil {
+			return nil, err
+		}
+		rec := new(ledger.Job)
+		if err := wire.Decode(a.Rec, rec); err != nil {
+			return nil, err
+		}
+		t.post(ctx, func() { t.core.JobSeen(n.clock.Now(), a.ID, rec, a.Stamp) })
+		return true, nil
+	case "report":
+		var raw []byte
+		rep := new(wire.Report)
+		if err := mesh.Decode(body, &raw); err != nil {
+			return nil, err
+		}
+		if err := wire.Decode(raw, rep); err != nil {
+			return nil, err
+		}
+		a := n.report(ctx, t, rep)
+		ans := stateAnswer{Status: a.Code}
+		if a.Body != nil {
+			ans.Body = wire.Encode(a.Body)
+		}
+		return ans, nil
+	}
+	return nil, errors.New("unknown request " + op)
+}
--- /dev/null
+++ b/node/term.go
@@ -0,0 +1,374 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"ospreystile.example/ospreystile/cloud"
+	"ospreystile.example/ospreystile/election"
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/scheduler"
+	"ospreystile.example/ospreystile/scheduler/quota"
+	"ospreystile.example/ospreystile/statestore"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// term is the work of one time of leading. Its loop alone touches the core;
+// everyone else posts events to it.
+type term struct {
+	n      *Node
+	key    *election.Term
+	core   *scheduler.Core
+	events chan func()
+	ledger *ledger.Committer
+	ctx    context.Context
+	tasks  *errgroup.Group
+}
+
+// post hands an event to the loop. It waits while the loop is behind: that
+// holds back whoever posts. False means that the term is over.
+func (t *term) post(ctx context.Context, f func()) bool {
+	select {
+	case t.events <- f:
+		return true
+	case <-t.ctx.Done():
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// ask runs f in the loop and waits for it.
+func (t *term) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	if !t.post(ctx, func() { f(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-t.ctx.Done():
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (n *Node) options(stamp ids.Stamp, predecessor bool) scheduler.Options {
+	s, op := &n.cfg.Settings, n.op
+	o := scheduler.Options{
+		Stamp:        stamp,
+		Predecessor:  predecessor,
+		Report:       ids.Seconds(s.Workers.ReportS),
+		Lease:        ids.Seconds(s.Workers.LeaseS),
+		Cancel:       ids.Seconds(s.Workers.CancelS),
+		Grace:        op.Grace(),
+		ListLag:      ids.Seconds(s.Cloud.ListLagS),
+		TxnOps:       s.State.TxnOps,
+		SliceTasks:   op.Quota.SliceTasks,
+		PassOver:     op.Quota.PassOver,
+		ReclaimHold:  ids.Seconds(op.Quota.ReclaimHoldS),
+		Idle:         ids.Seconds(op.Fleet.IdleS),
+		HeadroomIdle: ids.Seconds(op.Fleet.HeadroomIdle),
+		Headroom:     op.Fleet.Headroom,
+		BootFactor:   op.Fleet.BootFactor,
+		CapacityBack: ids.Seconds(op.Fleet.CapacityBack),
+		MaxMachines:  op.Fleet.MaxMachines,
+		Impatient:    map[string]time.Duration{},
+	}
+	for _, t := range s.Teams {
+		nominal := quota.Amount{CPUs: t.CPUs, GPUs: t.GPUs}
+		lend := nominal
+		if l, ok := op.Quota.LendingLimits[t.Name]; ok {
+			lend.CPUs = min(l, lend.CPUs)
+		}
+		o.Teams = append(o.Teams, quota.Team{Name: t.Name, Nominal: nominal,
+			Limit: quota.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}, Lend: lend})
+	}
+	for _, a := range s.Objectives {
+		// No machine boots within a few seconds, whatever the catalog says.
+		if a.Kind == "wait" && a.WithinS <= 10 {
+			o.Impatient[a.Class] = ids.Seconds(a.WithinS)
+		}
+	}
+	return o
+}
+
+// lead does the work of one term until its context ends.
+func (n *Node) lead(ctx context.Context, key *election.Term) error {
+	fence := &statestore.Guard{Key: ledger.LeaderKey, Stamp: key.Stamp}
+	t := &term{n: n, key: key, events: make(chan func(), 64),
+		ledger: ledger.NewCommitter(n.leaderState, n.limits(), fence, n.log)}
+	var g *errgroup.Group
+	g, t.ctx = errgroup.WithContext(ctx)
+	t.tasks = g
+	since, err := t.load()
+	if err != nil {
+		return fmt.Errorf("taking over: %w", err)
+	}
+	n.term.Store(t)
+	defer n.term.CompareAndSwap(t, nil)
+	n.log.Info("records read", "stamp", key.Stamp, "state", t.core.Summary())
+	g.Go(func() error { return t.ledger.Run(t.ctx) })
+	g.Go(func() error { return t.watchJobs(since) })
+	g.Go(t.listMachines)
+	g.Go(t.loop)
+	err = g.Wait()
+	if errors.Is(err, context.Canceled) && ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// load reads the records, which nobody else can change any more, and the jobs.
+func (t *term) load() (ids.Stamp, error) {
+	n := t.n
+	// The leader's commits are fenced by its stamp from here on, so the
+	// admissions stand still; jobs go on changing and are watched.
+	types := n.catalog.Load()
+	for types == nil {
+		if !pause(t.ctx, 100*time.Millisecond) {
+			return 0, t.ctx.Err()
+		}
+		types = n.catalog.Load()
+	}
+	_, before, err := n.leaderState.Get(t.ctx, ledger.FleetKey)
+	if err != nil {
+		return 0, err
+	}
+	if !before {
+		out, err := n.leaderState.Commit(t.ctx, statestore.Txn{
+			Guards: []statestore.Guard{{Key: ledger.LeaderKey, Stamp: t.key.Stamp}},
+			Apply:  []statestore.Op{{Write: ledger.FleetKey, Value: map[string]uint64{"first": uint64(t.key.Stamp)}}},
+		})
+		if err != nil {
+			return 0, err
+		}
+		if !out.Applied {
+			return 0, ledger.ErrFenced
+		}
+	}
+	t.core = scheduler.New(n.options(t.key.Stamp, before), *types)
+	since, err := n.leaderState.List(t.ctx, ledger.JobPrefix, func(e statestore.Entry) error {
+		var rec ledger.Job
+		if err := wire.Decode(e.Value, &rec); err != nil {
+			return fmt.Errorf("record %s: %w", e.Key, err)
+		}
+		t.core.LoadJob(ids.JobID(e.Key[len(ledger.JobPrefix):]), &rec, e.Stamp)
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	_, err = n.leaderState.List(t.ctx, ledger.AdmissionPrefix, func(e statestore.Entry) error {
+		id, num, ok := ledger.ParseAdmissionKey(e.Key)
+		if !ok {
+			return fmt.Errorf("record %s: malformed key", e.Key)
+		}
+		var rec ledger.Slice
+		if err := wire.Decode(e.Value, &rec); err != nil {
+			return fmt.Errorf("record %s: %w", e.Key, err)
+		}
+		return t.core.LoadSlice(id, num, &rec, e.Stamp)
+	})
+	if err != nil {
+		return 0, err
+	}
+	t.core.Begin(n.clock.Now())
+	return since, nil
+}
+
+// stepEvery is how often the core looks at the time when nothing happens.
+const stepEvery = 200 * time.Millisecond
+
+// loop owns the core.
+func (t *term) loop() error {
+	tick := time.NewTicker(stepEvery)
+	defer tick.Stop()
+	lastLog := t.n.clock.Now()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return t.ctx.Err()
+		case <-tick.C:
+		case f := <-t.events:
+			f()
+			for more := true; more; {
+				select {
+				case f := <-t.events:
+					f()
+				default:
+					more = false
+				}
+			}
+		}
+		if err := t.core.Broken(); err != nil {
+			return err
+		}
+		if t.core.Deposed() {
+			return election.ErrReplaced
+		}
+		if !t.key.MayAnswer() {
+			continue
+		}
+		t.dispatch(t.core.Step(t.n.clock.Now()))
+		if now := t.n.clock.Now(); now > lastLog.Add(5*time.Second) {
+			lastLog = now
+			t.n.log.Info("state of things", "sum", t.core.Summary())
+		}
+	}
+}
+
+// dispatch sends the core's decisions on their way. It never waits.
+func (t *term) dispatch(e scheduler.Effects) {
+	for _, ch := range e.Changes {
+		t.ledger.Submit(ch, time.Time{}, func(o ledger.Outcome, err error) {
+			if err != nil {
+				if t.ctx.Err() == nil {
+					t.n.log.Warn("change not committed", "err", err)
+					t.key.End(err)
+				}
+				return
+			}
+			t.post(t.ctx, func() { t.core.ChangeResult(t.n.clock.Now(), o) })
+		})
+	}
+	for _, h := range e.Direct {
+		d, addr, ok := t.core.TakeDirect(t.n.clock.Now(), h)
+		if !ok {
+			continue
+		}
+		t.tasks.Go(func() error {
+			rep, _, err := t.n.workers.Do(t.ctx, addr, d, 2*time.Second)
+			if err != nil {
+				t.n.log.Debug("direct command unanswered", "host", h, "err", err)
+				rep = nil
+			}
+			t.post(t.ctx, func() { t.core.DirectResult(t.n.clock.Now(), h, rep) })
+			return nil
+		})
+	}
+	for _, h := range e.Show {
+		addr := t.core.Endpoint(h)
+		t.tasks.Go(func() error {
+			rep, err := t.n.workers.Show(t.ctx, addr, 2*time.Second)
+			if err != nil {
+				rep = nil
+			}
+			t.post(t.ctx, func() { t.core.ShowResult(t.n.clock.Now(), h, rep) })
+			return nil
+		})
+	}
+	for _, id := range e.Refresh {
+		t.tasks.Go(func() error { t.refresh(id); return nil })
+	}
+	for _, r := range e.Rent {
+		t.tasks.Go(func() error { t.rent(r); return nil })
+	}
+	for hosts := e.Return; len(hosts) > 0; {
+		part := hosts[:min(len(hosts), cloud.MaxReturn)]
+		hosts = hosts[len(part):]
+		t.tasks.Go(func() error { t.giveBack(part); return nil })
+	}
+	for _, addr := range e.Forget {
+		t.n.workers.Forget(addr)
+	}
+}
+
+// refresh reads a job's record again.
+func (t *term) refresh(id ids.JobID) {
+	for t.ctx.Err() == nil {
+		e, found, err := t.n.leaderState.Get(t.ctx, ledger.JobKey(id))
+		var rec ledger.Job
+		if err == nil && found {
+			err = wire.Decode(e.Value, &rec)
+		}
+		if err == nil {
+			if found {
+				t.post(t.ctx, func() { t.core.JobSeen(t.n.clock.Now(), id, &rec, e.Stamp) })
+			}
+			return
+		}
+		t.n.log.Debug("job not read", "job", id, "err", err)
+		pause(t.ctx, 300*time.Millisecond)
+	}
+}
+
+// rent brings one rental to its end. Without an answer it is repeated under
+// the same name, which rents nothing twice.
+func (t *term) rent(r wire.Rental) {
+	for t.ctx.Err() == nil {
+		hosts, err := t.n.cloud.Rent(t.ctx, r)
+		switch {
+		case err == nil, errors.Is(err, cloud.ErrNoCapacity), errors.Is(err, cloud.ErrRefused):
+			t.n.log.Info("rental", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(hosts))
+			ok, capacity := err == nil, errors.Is(err, cloud.ErrNoCapacity)
+			t.post(t.ctx, func() { t.core.RentResult(t.n.clock.Now(), r, hosts, ok, capacity) })
+			return
+		}
+		t.n.log.Info("rental unanswered", "booking", r.Request, "err", err)
+		pause(t.ctx, time.Second)
+	}
+}
+
+// giveBack returns machines, until the cloud says that they are gone.
+func (t *term) giveBack(hosts []ids.Host) {
+	for t.ctx.Err() == nil {
+		err := t.n.cloud.Return(t.ctx, hosts)
+		if err == nil {
+			t.n.log.Info("returned", "hosts", hosts)
+			t.post(t.ctx, func() { t.core.ReturnResult(t.n.clock.Now(), hosts, true) })
+			return
+		}
+		t.n.log.Info("return unanswered", "err", err)
+		pause(t.ctx, time.Second)
+	}
+}
+
+// watchJobs is the safety net under the peers' announcements.
+func (t *term) watchJobs(since ids.Stamp) error {
+	for {
+		epoch, events, err := t.n.leaderState.Watch(t.ctx, ledger.JobPrefix, since, 10*time.Second)
+		if errors.Is(err, statestore.ErrTooOld) {
+			return fmt.Errorf("watch on jobs: %w", err)
+		}
+		if err != nil {
+			if !pause(t.ctx, 200*time.Millisecond) {
+				return t.ctx.Err()
+			}
+			continue
+		}
+		for _, ev := range events {
+			if ev.Write == "" {
+				continue
+			}
+			var rec ledger.Job
+			if err := wire.Decode(ev.Value, &rec); err != nil {
+				return fmt.Errorf("record %s: %w", ev.Write, err)
+			}
+			id := ids.JobID(ev.Write[len(ledger.JobPrefix):])
+			t.post(t.ctx, func() { t.core.JobSeen(t.n.clock.Now(), id, &rec, ev.Stamp) })
+		}
+		since = max(since, epoch)
+	}
+}
+
+// listMachines reads the cloud's list.
+func (t *term) listMachines() error {
+	every := max(2*time.Second, ids.Seconds(4/t.n.cfg.Settings.Cloud.RPS))
+	for {
+		asked := t.n.clock.Now()
+		list, err := t.n.cloud.List(t.ctx)
+		if err == nil {
+			t.post(t.ctx, func() { t.core.MachineList(t.n.clock.Now(), asked, list) })
+		} else {
+			t.n.log.Debug("machines not listed", "err", err)
+		}
+		if !pause(t.ctx, every) {
+			return t.ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/buy.go
@@ -0,0 +1,199 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/scheduler/fleet"
+	"ospreystile.example/ospreystile/scheduler/placement"
+	"ospreystile.example/ospreystile/scheduler/quota"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// fleetEvery is how often the fleet is planned.
+const fleetEvery = time.Second
+
+// peakWindow is how long a class's peak is remembered.
+const peakWindow = 2 * time.Minute
+
+// peak is the most tasks of a class at once, lately.
+type peak struct {
+	spec *wire.Spec
+	now  int
+	ring [4]int // by half minute
+	at   int
+}
+
+func (p *peak) value() int {
+	m := p.now
+	for _, v := range p.ring {
+		m = max(m, v)
+	}
+	return m
+}
+
+// planFleet rents for what was admitted or could be and found no place, and
+// gives back what stands idle.
+func (c *Core) planFleet() {
+	if c.now < c.lastFleet.Add(fleetEvery) {
+		return
+	}
+	c.lastFleet = c.now
+	c.notePeaks()
+	// A predecessor's machines may not be listed yet; rented again, they
+	// would be there twice.
+	if c.opt.Predecessor && c.now < c.started.Add(2*c.opt.ListLag) {
+		return
+	}
+	p := &fleet.Planner{Types: c.typeList, Held: map[placement.Site]int{}, Budget: c.opt.MaxMachines - len(c.order),
+		Blocked: func(s placement.Site) bool { return c.renting[s] > 0 || c.backoff.Blocked(s, c.now) }}
+	for _, m := range c.order {
+		p.Held[m.Site]++
+		if !m.reported && !m.returning && m.typ != nil {
+			p.Coming(m.Site, m.free())
+		}
+	}
+	for s, n := range c.renting {
+		for range n {
+			if t := c.types[s.Type]; t != nil {
+				p.Coming(s, placement.OfType(t))
+			}
+		}
+	}
+	c.demand(p)
+	c.headroom(p)
+	for _, b := range p.Buys() {
+		n := min(b.Count, 50)
+		c.nextBooking++
+		c.renting[b.Site] = n
+		c.out.Rent = append(c.out.Rent, wire.Rental{
+			Request: fmt.Sprintf("r-%d-%d", c.opt.Stamp, c.nextBooking),
+			Type:    b.Type, Zone: b.Zone, Spot: b.Spot, Count: n,
+		})
+	}
+	c.returnIdle()
+}
+
+// demand adds the waiting tasks that quota would let in.
+func (c *Core) demand(p *fleet.Planner) {
+	type taken struct {
+		t ids.Team
+		m quota.Amount
+	}
+	var all []taken
+	counted := map[*job]int{}
+	waiting := c.waiting()
+	for _, nominal := range []bool{true, false} {
+		for _, j := range waiting {
+			n := 0
+			for range len(j.pending) - counted[j] {
+				if !c.fitsQuota(j, nominal, 1) {
+					break
+				}
+				c.book.Take(j.spec.Team, j.amount())
+				all = append(all, taken{j.spec.Team, j.amount()})
+				n++
+			}
+			if n > 0 {
+				counted[j] += n
+				p.Add(fleet.Demand{Spec: j.spec, Count: n, Zones: j.zones})
+			}
+		}
+	}
+	for _, t := range all {
+		c.book.Free(t.t, t.m)
+	}
+}
+
+func (c *Core) notePeaks() {
+	count := map[string]int{}
+	for _, j := range c.jobs {
+		if j.over() {
+			continue
+		}
+		count[j.spec.Class] += len(j.active) + len(j.pending)
+		if p := c.peaks[j.spec.Class]; p == nil {
+			c.peaks[j.spec.Class] = &peak{spec: j.spec}
+		}
+	}
+	slot := int(time.Duration(c.now) / (peakWindow / 4))
+	for class, p := range c.peaks {
+		if p.at != slot {
+			p.at = slot
+			p.ring[slot%4] = 0
+		}
+		p.now = count[class]
+		p.ring[slot%4] = max(p.ring[slot%4], p.now)
+	}
+}
+
+// headroom keeps room for classes that cannot wait for a machine to boot.
+func (c *Core) headroom(p *fleet.Planner) {
+	for _, class := range slices.Sorted(maps.Keys(c.opt.Impatient)) {
+		pk := c.peaks[class]
+		if pk == nil {
+			continue
+		}
+		want := int(math.Ceil(c.opt.Headroom*float64(pk.value()))) + 2
+		need := placement.Of(pk.spec)
+		for _, m := range c.order {
+			if want <= 0 {
+				break
+			}
+			if !c.usable(m) || !placement.Allowed(pk.spec, m.Site) {
+				continue
+			}
+			for free := m.free(); want > 0 && need.Within(free); want-- {
+				free = free.Minus(need)
+			}
+		}
+		if want > 0 {
+			p.Add(fleet.Demand{Spec: pk.spec, Count: want})
+		}
+	}
+}
+
+// returnIdle gives back machines that nothing has used for a while.
+func (c *Core) returnIdle() {
+	idle := c.opt.Idle
+	if len(c.opt.Impatient) > 0 {
+		idle = c.opt.HeadroomIdle
+	}
+	for _, m := range c.order {
+		if m.returning || !m.reported || len(m.tasks) > 0 || m.strays.CPUs > 0 {
+			continue
+		}
+		if c.now > m.idleSince.Add(idle) || c.now < m.quarantine && c.now > m.idleSince.Add(5*time.Second) {
+			c.giveBack(m)
+		}
+	}
+}
+
+// RentResult takes the answer to a rental. Capacity tells that the cloud had
+// none; any other failure leaves ok and capacity false.
+func (c *Core) RentResult(now ids.Instant, r wire.Rental, hosts []ids.Host, ok, capacity bool) {
+	c.now = now
+	site := placement.Site{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+	delete(c.renting, site)
+	if !ok {
+		c.backoff.Refused(site, now)
+		return
+	}
+	for _, h := range hosts {
+		if c.gone[h] {
+			continue
+		}
+		m := c.machine(h)
+		c.setSite(m, site, "")
+	}
+	if len(hosts) < r.Count {
+		c.backoff.Refused(site, now)
+	} else {
+		c.backoff.Granted(site)
+	}
+	c.changed = true
+}
--- /dev/null
+++ b/scheduler/core.go
@@ -0,0 +1,767 @@
+// Package scheduler is the core of the leader: it admits jobs against quotas,
+// places their tasks, says what machines to rent or return, and what to tell
+// each worker. It does no I/O and has one owner: events and the time go in
+// through its methods, decisions come out of Step. The same events at the same
+// times give the same decisions.
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/scheduler/fleet"
+	"ospreystile.example/ospreystile/scheduler/placement"
+	"ospreystile.example/ospreystile/scheduler/quota"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// Options are the settings of one term of leadership.
+type Options struct {
+	// Stamp is the stamp of the leader's key; tokens are made of it.
+	Stamp ids.Stamp
+	// Predecessor tells that another leader may have acted before.
+	Predecessor bool
+	Teams       []quota.Team
+	// Report and Lease are the workers' settings, Cancel is the time in
+	// which a withdrawn job's tasks must be gone.
+	Report, Lease, Cancel time.Duration
+	// Grace is how long a predecessor without the state service may have
+	// gone on answering workers after this term began.
+	Grace   time.Duration
+	ListLag time.Duration
+	// TxnOps bounds the writes of one change.
+	TxnOps     int
+	SliceTasks int
+	PassOver   int
+	// Impatient names the classes whose tasks must start sooner than a
+	// machine boots.
+	Impatient    map[string]time.Duration
+	ReclaimHold  time.Duration
+	Idle         time.Duration
+	HeadroomIdle time.Duration
+	Headroom     float64
+	BootFactor   float64
+	CapacityBack time.Duration
+	MaxMachines  int
+}
+
+type taskState uint8
+
+const (
+	taskPending taskState = iota
+	taskAssigned
+	taskDone
+)
+
+type task struct {
+	attempt ids.Attempt
+	state   taskState
+	a       *assignment
+}
+
+type stopReason uint8
+
+const (
+	stopNone stopReason = iota
+	stopWithdrawn
+	stopPreempted
+	stopDrained
+)
+
+// assignment is one attempt of a task on a machine. From the decision on it
+// counts as used, until the attempt is surely gone.
+type assignment struct {
+	job     *job
+	index   int
+	attempt ids.Attempt
+	m       *machine
+	// recorded: the admission record is committed. Nothing is sent before.
+	recorded bool
+	// saving: a change that holds this placement is on its way.
+	saving bool
+	// inherited: a predecessor recorded it and may have sent it.
+	inherited bool
+	// sentToken is the highest token under which run may have been sent. A
+	// worker that shows a higher one and not the attempt will never start it.
+	sentToken  ids.Token
+	sentTenure ids.Tenure
+	sent       bool
+	seen       bool
+	phase      string
+	since      ids.Instant // when the phase began, as far as known
+	stop       stopReason
+	stopAt     ids.Instant
+	graceS     float64
+	killAt     ids.Instant
+}
+
+func (a *assignment) ref() ids.TaskRef { return ids.TaskRef{Job: a.job.id, Index: a.index} }
+
+// mayRun tells whether the worker might have the task.
+func (a *assignment) mayRun() bool { return a.sent || a.inherited }
+
+// slice is one admission record.
+type slice struct {
+	n        int
+	stamp    ids.Stamp // 0: no record
+	dirty    bool
+	inflight bool
+}
+
+type job struct {
+	id      ids.JobID
+	spec    *wire.Spec
+	stamp   ids.Stamp
+	at      int64
+	status  string
+	tasks   []task
+	slices  []*slice
+	pending []int // descending, so that the lowest is popped first
+	done    int
+	active  map[int]*assignment
+	zones   placement.Zones
+	// finishing: the commit of done is on its way.
+	finishing bool
+	stopAt    ids.Instant
+	retryAt   ids.Instant
+	refreshAt ids.Instant // no change before, the record is being read again
+	backoff   time.Duration
+	failedOn  map[ids.Host]int
+	succeeded int
+	known     ids.Instant
+}
+
+func (j *job) over() bool { return j.status != wire.StatusQueued }
+
+func (j *job) amount() quota.Amount { return quota.Amount{CPUs: j.spec.CPUs, GPUs: j.spec.GPUs} }
+
+// Status is what the leader can say about a job's progress.
+type Status struct {
+	Done, Running int
+}
+
+type pendingChange struct {
+	job     *job
+	slice   *slice
+	placed  []*assignment
+	finish  bool
+	dropped []*slice
+}
+
+// Core is the scheduler of one term.
+type Core struct {
+	opt      Options
+	started  ids.Instant
+	now      ids.Instant
+	types    map[ids.MachineType]*wire.MachineType
+	typeList []wire.MachineType
+	jobs     map[ids.JobID]*job // all that are not over, and withdrawn ones with tasks
+	ended    map[ids.JobID]string
+	machines map[ids.Host]*machine
+	order    []*machine // machines by host
+	gone     map[ids.Host]bool
+	book     *quota.Book
+	backoff  *fleet.Backoff
+
+	changes    map[uint64]*pendingChange
+	nextChange uint64
+	changed    bool // something happened that scheduling may act on
+	dirty      map[*slice]*job
+	finishable map[*job]bool
+	withdrawn  map[*job]bool
+
+	lastFleet   ids.Instant
+	nextBooking int
+	renting     map[placement.Site]int
+	peaks       map[string]*peak
+	out         Effects
+
+	// Deposed is set when a worker shows a higher leader's token.
+	deposed bool
+	broken  error
+}
+
+// Effects are the decisions since the last Step.
+type Effects struct {
+	Changes []ledger.Change
+	// Direct lists workers to which commands should go now; see TakeDirect.
+	Direct []ids.Host
+	// Show lists workers that should be asked for a report.
+	Show    []ids.Host
+	Rent    []wire.Rental
+	Return  []ids.Host
+	Refresh []ids.JobID
+	// Forget lists addresses of machines that are gone.
+	Forget []string
+}
+
+// New makes the core of a term. Records follow through LoadJob and LoadSlice,
+// then Begin.
+func New(opt Options, types []wire.MachineType) *Core {
+	c := &Core{
+		opt:        opt,
+		jobs:       map[ids.JobID]*job{},
+		ended:      map[ids.JobID]string{},
+		machines:   map[ids.Host]*machine{},
+		gone:       map[ids.Host]bool{},
+		book:       quota.NewBook(opt.Teams),
+		backoff:    fleet.NewBackoff(opt.CapacityBack),
+		changes:    map[uint64]*pendingChange{},
+		dirty:      map[*slice]*job{},
+		finishable: map[*job]bool{},
+		withdrawn:  map[*job]bool{},
+		renting:    map[placement.Site]int{},
+		peaks:      map[string]*peak{},
+	}
+	c.SetCatalog(types)
+	return c
+}
+
+// SetCatalog takes the cloud's machine types and current prices.
+func (c *Core) SetCatalog(types []wire.MachineType) {
+	c.typeList = slices.Clone(types)
+	sort.Slice(c.typeList, func(i, k int) bool { return c.typeList[i].Name < c.typeList[k].Name })
+	c.types = map[ids.MachineType]*wire.MachineType{}
+	for i := range c.typeList {
+		c.types[c.typeList[i].Name] = &c.typeList[i]
+	}
+	for _, m := range c.order {
+		c.fillType(m)
+	}
+	c.changed = true
+}
+
+// Deposed tells that a worker has seen a later leader.
+func (c *Core) Deposed() bool { return c.deposed }
+
+// Broken is set when the records are not as this leader left them. The term
+// must then end and the records be read again.
+func (c *Core) Broken() error { return c.broken }
+
+func (c *Core) newJob(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) *job {
+	j := &job{id: id, spec: rec.Spec, stamp: stamp, at: rec.SubmittedMS, status: rec.Status,
+		active: map[int]*assignment{}, zones: placement.Zones{}, known: c.now}
+	if j.spec == nil {
+		j.spec = &wire.Spec{Tasks: rec.Tasks}
+	}
+	j.tasks = make([]task, j.spec.Tasks)
+	per := c.opt.SliceTasks
+	j.slices = make([]*slice, (len(j.tasks)+per-1)/per)
+	for n := range j.slices {
+		j.slices[n] = &slice{n: n}
+	}
+	return j
+}
+
+// LoadJob takes a job's record at the start of the term. Jobs come before
+// slices.
+func (c *Core) LoadJob(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) {
+	if rec.Over() {
+		c.ended[id] = rec.Status
+	}
+	if rec.Status == wire.StatusDone || rec.Spec == nil {
+		return
+	}
+	c.jobs[id] = c.newJob(id, rec, stamp)
+}
+
+// LoadSlice takes an admission record at the start of the term.
+func (c *Core) LoadSlice(id ids.JobID, n int, rec *ledger.Slice, stamp ids.Stamp) error {
+	j := c.jobs[id]
+	if j == nil {
+		// What is left of a done job; it only has to be dropped.
+		j = c.newJob(id, &ledger.Job{Status: wire.StatusDone}, 0)
+		c.jobs[id] = j
+	}
+	for len(j.slices) <= n && j.over() {
+		j.slices = append(j.slices, &slice{n: len(j.slices)})
+	}
+	if n >= len(j.slices) {
+		return fmt.Errorf("admission record %s/%d lies outside its job", id, n)
+	}
+	j.slices[n].stamp = stamp
+	if j.status == wire.StatusDone {
+		return nil
+	}
+	for _, i := range rec.Done {
+		if i < 0 || i >= len(j.tasks) {
+			return fmt.Errorf("admission record %s/%d names task %d", id, n, i)
+		}
+		if j.tasks[i].state != taskDone {
+			j.tasks[i].state = taskDone
+			j.done++
+		}
+	}
+	for k := 0; k+2 < len(rec.Tasks); k += 3 {
+		i, attempt, h := rec.Tasks[k], ids.Attempt(rec.Tasks[k+1]), rec.Tasks[k+2]
+		if i < 0 || i >= len(j.tasks) || h >= len(rec.Hosts) {
+			return fmt.Errorf("admission record %s/%d names task %d on place %d", id, n, i, h)
+		}
+		t := &j.tasks[i]
+		t.attempt = attempt
+		if h < 0 || t.state == taskDone {
+			continue
+		}
+		m := c.machine(rec.Hosts[h])
+		a := &assignment{job: j, index: i, attempt: attempt, m: m, recorded: true, inherited: true,
+			sentToken: ids.NewToken(c.opt.Stamp, 0) - 1}
+		c.attach(a)
+	}
+	return nil
+}
+
+// Begin ends the loading of records.
+func (c *Core) Begin(now ids.Instant) {
+	c.started, c.now = now, now
+	c.lastFleet = now
+	for _, j := range c.jobs {
+		j.known = now
+		switch j.status {
+		case wire.StatusQueued:
+			c.refill(j)
+			if j.done == len(j.tasks) {
+				c.finishable[j] = true
+			}
+		default:
+			c.beginStop(j)
+		}
+	}
+	for _, m := range c.order {
+		m.known = now
+	}
+	c.changed = true
+}
+
+func (c *Core) refill(j *job) {
+	j.pending = j.pending[:0]
+	for i := len(j.tasks) - 1; i >= 0; i-- {
+		if j.tasks[i].state == taskPending {
+			j.pending = append(j.pending, i)
+		}
+	}
+}
+
+// attach makes an assignment count on its machine, its job and the books.
+func (c *Core) attach(a *assignment) {
+	t := &a.job.tasks[a.index]
+	t.state, t.a = taskAssigned, a
+	a.job.active[a.index] = a
+	a.job.zones[a.m.Zone]++
+	a.m.tasks[a.ref()] = a
+	a.m.used = a.m.used.Plus(placement.Of(a.job.spec))
+	c.book.Take(a.job.spec.Team, a.job.amount())
+}
+
+// detach undoes attach. The caller has shown that the attempt is surely gone
+// or was never sent.
+func (c *Core) detach(a *assignment) {
+	t := &a.job.tasks[a.index]
+	t.state, t.a = taskPending, nil
+	delete(a.job.active, a.index)
+	if a.job.zones[a.m.Zone]--; a.job.zones[a.m.Zone] <= 0 {
+		delete(a.job.zones, a.m.Zone)
+	}
+	delete(a.m.tasks, a.ref())
+	a.m.used = a.m.used.Minus(placement.Of(a.job.spec))
+	if len(a.m.tasks) == 0 {
+		a.m.used = placement.Resources{}
+		a.m.idleSince = c.now
+	}
+	c.book.Free(a.job.spec.Team, a.job.amount())
+	c.changed = true
+}
+
+// release takes a task that is surely gone off its machine; it waits again if
+// its job goes on.
+func (c *Core) release(a *assignment) {
+	c.detach(a)
+	j := a.job
+	if j.over() {
+		c.withdrawn[j] = true
+		return
+	}
+	k, _ := slices.BinarySearchFunc(j.pending, a.index, func(e, t int) int { return t - e })
+	j.pending = slices.Insert(j.pending, k, a.index)
+	c.touch(j, a.index)
+}
+
+func (c *Core) touch(j *job, index int) {
+	s := j.slices[index/c.opt.SliceTasks]
+	s.dirty = true
+	c.dirty[s] = j
+}
+
+// complete notes that a task is done.
+func (c *Core) complete(a *assignment) {
+	c.detach(a)
+	j := a.job
+	if j.over() {
+		c.withdrawn[j] = true
+		return
+	}
+	j.tasks[a.index].state = taskDone
+	j.done++
+	j.succeeded++
+	c.touch(j, a.index)
+	if j.done == len(j.tasks) {
+		c.finishable[j] = true
+	}
+}
+
+// JobSeen takes a job's record as found in state: new, withdrawn or with a
+// version that this leader did not know.
+func (c *Core) JobSeen(now ids.Instant, id ids.JobID, rec *ledger.Job, stamp ids.Stamp) {
+	c.now = now
+	j := c.jobs[id]
+	if j != nil && stamp <= j.stamp {
+		return
+	}
+	if rec.Over() {
+		c.ended[id] = rec.Status
+	}
+	if j == nil {
+		if rec.Over() {
+			return
+		}
+		if _, over := c.ended[id]; over {
+			return // an older record, delivered late
+		}
+		j = c.newJob(id, rec, stamp)
+		c.jobs[id] = j
+		c.refill(j)
+		c.changed = true
+		return
+	}
+	j.stamp = stamp
+	if rec.Over() && !j.over() {
+		j.status = rec.Status
+		c.beginStop(j)
+	}
+}
+
+// beginStop stops all that a job which is over may still have on machines.
+func (c *Core) beginStop(j *job) {
+	j.pending = nil
+	j.stopAt = c.now
+	for _, s := range j.slices {
+		delete(c.dirty, s)
+		s.dirty = false
+	}
+	delete(c.finishable, j)
+	for _, a := range sortedTasks(j.active) {
+		c.stop(a, stopWithdrawn)
+	}
+	c.withdrawn[j] = true
+	c.changed = true
+}
+
+func sortedTasks(m map[int]*assignment) []*assignment {
+	out := make([]*assignment, 0, len(m))
+	for _, a := range m {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].index < out[k].index })
+	return out
+}
+
+// stop decides that a task must leave its machine. One that was never sent is
+// gone at once, unless its record is still being written: then the record
+// decides first.
+func (c *Core) stop(a *assignment, why stopReason) {
+	if a.stop == stopNone {
+		a.stopAt = c.now
+	}
+	a.graceS = 0
+	if why != stopWithdrawn && a.stop != stopWithdrawn && a.job.spec.SaveEvery > 0 {
+		a.graceS = a.job.spec.SaveS*1.25 + 0.5
+	}
+	if a.stop != stopWithdrawn {
+		a.stop = why
+	}
+	if !a.mayRun() && !a.saving {
+		c.release(a)
+	}
+	c.changed = true
+}
+
+// Status tells a job's progress for display.
+func (c *Core) Status(id ids.JobID) (Status, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return Status{}, false
+	}
+	s := Status{Done: j.done}
+	for _, a := range j.active {
+		if a.phase == wire.TaskRunning || a.phase == wire.TaskFlushing {
+			s.Running++
+		}
+	}
+	return s, true
+}
+
+// ChangeResult takes the definite outcome of a change.
+func (c *Core) ChangeResult(now ids.Instant, o ledger.Outcome) {
+	c.now = now
+	p := c.changes[o.Change.ID]
+	if p == nil {
+		return
+	}
+	delete(c.changes, o.Change.ID)
+	c.changed = true
+	j := p.job
+	if p.slice != nil {
+		p.slice.inflight = false
+	}
+	for _, s := range p.dropped {
+		s.inflight = false
+	}
+	if !o.Applied {
+		c.refused(p, o.Failed)
+		return
+	}
+	switch {
+	case p.finish:
+		j.finishing = false
+		j.status, j.stamp = wire.StatusDone, o.Stamp
+		c.ended[j.id] = wire.StatusDone
+		for _, s := range p.dropped {
+			s.stamp = 0
+		}
+		c.withdrawn[j] = true
+	case p.slice != nil:
+		p.slice.stamp = o.Stamp
+		for _, a := range p.placed {
+			a.recorded, a.saving = true, false
+			if a.stop != stopNone && a.m.tasks[a.ref()] == a {
+				c.release(a) // never sent
+			}
+		}
+		if j.over() {
+			c.withdrawn[j] = true
+		}
+	default:
+		for _, s := range p.dropped {
+			s.stamp = 0
+		}
+		c.withdrawn[j] = true
+	}
+}
+
+// refused handles a change whose guards failed. Only the job's own key may
+// have moved, by a withdrawal; anything else means that the records are not
+// as this leader left them.
+func (c *Core) refused(p *pendingChange, failed []string) {
+	j := p.job
+	j.finishing = false
+	if len(failed) != 1 || failed[0] != ledger.JobKey(j.id) || j.stamp == 0 {
+		c.broken = fmt.Errorf("records of %s moved without this leader: %v", j.id, failed)
+		return
+	}
+	for _, a := range p.placed {
+		a.saving = false
+		if a.m.tasks[a.ref()] == a {
+			c.release(a)
+		}
+	}
+	if !j.over() {
+		if p.finish {
+			c.finishable[j] = true
+		} else if p.slice != nil {
+			p.slice.dirty = true
+			c.dirty[p.slice] = j
+		}
+		j.refreshAt = c.now.Add(500 * time.Millisecond)
+		c.out.Refresh = append(c.out.Refresh, j.id)
+	} else {
+		c.withdrawn[j] = true
+	}
+}
+
+func sortedJobs(m map[*job]bool) []*job {
+	out := make([]*job, 0, len(m))
+	for j := range m {
+		out = append(out, j)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].id < out[k].id })
+	return out
+}
+
+// Step runs what time and events call for and hands out the decisions.
+func (c *Core) Step(now ids.Instant) Effects {
+	c.now = now
+	c.watchMachines()
+	if c.changed {
+		c.changed = false
+		c.schedule()
+	}
+	c.planFleet()
+	c.save()
+	c.direct()
+	out := c.out
+	c.out = Effects{}
+	return out
+}
+
+// save turns dirty records into changes.
+func (c *Core) save() {
+	for _, j := range sortedJobs(c.finishable) {
+		c.finish(j)
+	}
+	type item struct {
+		s *slice
+		j *job
+	}
+	var items []item
+	for s, j := range c.dirty {
+		if s.inflight || j.over() || j.finishing || c.finishable[j] || c.now < j.refreshAt {
+			continue
+		}
+		items = append(items, item{s, j})
+	}
+	sort.Slice(items, func(i, k int) bool {
+		a, b := items[i], items[k]
+		if a.j.spec.Priority != b.j.spec.Priority {
+			return a.j.spec.Priority > b.j.spec.Priority
+		}
+		if a.j.id != b.j.id {
+			return a.j.id < b.j.id
+		}
+		return a.s.n < b.s.n
+	})
+	for _, it := range items {
+		c.saveSlice(it.j, it.s)
+	}
+	for _, j := range sortedJobs(c.withdrawn) {
+		c.cleanUp(j)
+	}
+}
+
+func (c *Core) submit(p *pendingChange, ch ledger.Change) {
+	c.nextChange++
+	ch.ID = c.nextChange
+	c.changes[ch.ID] = p
+	c.out.Changes = append(c.out.Changes, ch)
+}
+
+// nonce names the next change. No two leaders share a stamp.
+func (c *Core) nonce() uint64 {
+	return uint64(ids.NewToken(c.opt.Stamp, c.nextChange+1))
+}
+
+func (c *Core) saveSlice(j *job, s *slice) {
+	delete(c.dirty, s)
+	s.dirty, s.inflight = false, true
+	p := &pendingChange{job: j, slice: s}
+	rec := ledger.Slice{Nonce: c.nonce()}
+	place := map[ids.Host]int{}
+	lo := s.n * c.opt.SliceTasks
+	hi := min(lo+c.opt.SliceTasks, len(j.tasks))
+	for i := lo; i < hi; i++ {
+		t := &j.tasks[i]
+		if t.state == taskDone {
+			rec.Done = append(rec.Done, i)
+			continue
+		}
+		if t.attempt == 0 {
+			continue
+		}
+		at := -1
+		if t.a != nil {
+			h, ok := place[t.a.m.host]
+			if !ok {
+				h = len(rec.Hosts)
+				place[t.a.m.host] = h
+				rec.Hosts = append(rec.Hosts, t.a.m.host)
+			}
+			at = h
+			if !t.a.recorded {
+				t.a.saving = true
+				p.placed = append(p.placed, t.a)
+			}
+		}
+		rec.Tasks = append(rec.Tasks, i, int(t.attempt), at)
+	}
+	c.submit(p, ledger.SliceChange(j.id, j.stamp, s.n, s.stamp, rec))
+}
+
+// finish commits that a job is done, and drops what records it can in the
+// same transaction.
+func (c *Core) finish(j *job) {
+	for _, s := range j.slices {
+		if s.inflight {
+			return // its version is not known yet
+		}
+	}
+	if j.finishing || j.over() || c.now < j.refreshAt {
+		return
+	}
+	delete(c.finishable, j)
+	j.finishing = true
+	p := &pendingChange{job: j, finish: true}
+	var drops []ledger.SliceVersion
+	for _, s := range j.slices {
+		delete(c.dirty, s)
+		s.dirty = false
+		if s.stamp != 0 && len(drops) < c.opt.TxnOps-2 {
+			s.inflight = true
+			p.dropped = append(p.dropped, s)
+			drops = append(drops, ledger.SliceVersion{N: s.n, Stamp: s.stamp})
+		}
+	}
+	c.submit(p, ledger.DoneChange(j.id, j.stamp, c.nonce(), len(j.tasks), drops))
+}
+
+// cleanUp drops the admission records of a job that is over, once none of its
+// tasks can be on a machine.
+func (c *Core) cleanUp(j *job) {
+	delete(c.withdrawn, j)
+	if !j.over() || len(j.active) > 0 {
+		return
+	}
+	p := &pendingChange{job: j}
+	var drops []ledger.SliceVersion
+	for _, s := range j.slices {
+		if s.inflight {
+			return // comes again with the outcome
+		}
+		if s.stamp != 0 && len(drops) < c.opt.TxnOps-1 {
+			p.dropped = append(p.dropped, s)
+			drops = append(drops, ledger.SliceVersion{N: s.n, Stamp: s.stamp})
+		}
+	}
+	if len(drops) == 0 {
+		delete(c.jobs, j.id)
+		return
+	}
+	for _, s := range p.dropped {
+		s.inflight = true
+	}
+	c.submit(p, ledger.DropChange(j.id, drops))
+}
+
+// Summary is one line about the state of things, for the log.
+func (c *Core) Summary() string {
+	var b strings.Builder
+	var pend, act, up, boot int
+	for _, j := range c.jobs {
+		pend += len(j.pending)
+		act += len(j.active)
+	}
+	for _, m := range c.order {
+		if c.usable(m) {
+			up++
+		} else if !m.reported {
+			boot++
+		}
+	}
+	fmt.Fprintf(&b, "jobs=%d waiting=%d placed=%d machines=%d usable=%d booting=%d", len(c.jobs), pend, act, len(c.order), up, boot)
+	for _, t := range c.opt.Teams {
+		fmt.Fprintf(&b, " %s=%.0f", t.Name, c.book.Used(t.Name).CPUs)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/scheduler/fleet/fleet.go
@@ -0,0 +1,198 @@
+// Package fleet decides which machines to rent.
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/scheduler/placement"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// Demand is some tasks of one job that found no place.
+type Demand struct {
+	Spec  *wire.Spec
+	Count int
+	Zones placement.Zones // the job's tasks by zone so far
+}
+
+// Buy is a wish for machines of one site.
+type Buy struct {
+	placement.Site
+	Count int
+}
+
+// Backoff remembers which sites lacked capacity lately.
+type Backoff struct {
+	first time.Duration
+	sites map[placement.Site]wait
+}
+
+type wait struct {
+	until ids.Instant
+	next  time.Duration
+}
+
+// NewBackoff starts with the given first wait.
+func NewBackoff(first time.Duration) *Backoff {
+	return &Backoff{first, map[placement.Site]wait{}}
+}
+
+// Refused notes that a site had no capacity.
+func (b *Backoff) Refused(s placement.Site, now ids.Instant) {
+	w := b.sites[s]
+	if w.next == 0 {
+		w.next = b.first
+	}
+	w.until = now.Add(w.next)
+	w.next = min(2*w.next, 6*b.first)
+	b.sites[s] = w
+}
+
+// Granted clears a site.
+func (b *Backoff) Granted(s placement.Site) { delete(b.sites, s) }
+
+// Blocked tells whether a site should not be asked yet.
+func (b *Backoff) Blocked(s placement.Site, now ids.Instant) bool { return now < b.sites[s].until }
+
+// bin is a machine that is coming and has room left.
+type bin struct {
+	placement.Site
+	free placement.Resources
+}
+
+// Planner turns demand into purchases.
+type Planner struct {
+	Types   []wire.MachineType
+	Blocked func(placement.Site) bool
+	// Held counts the machines by site, so that purchases spread over zones.
+	Held map[placement.Site]int
+	// Budget is the most machines to buy.
+	Budget int
+
+	bins []*bin
+	buys map[placement.Site]int
+}
+
+// Coming adds a machine that is starting, with the room that is left on it.
+func (p *Planner) Coming(s placement.Site, free placement.Resources) {
+	p.bins = append(p.bins, &bin{s, free})
+}
+
+// Add packs one job's tasks into what is coming and buys what is missing.
+// Cheapest per task that fits goes first; services and ordinary work are
+// spread over zones by taking the zone with the fewest machines.
+func (p *Planner) Add(d Demand) {
+	if p.buys == nil {
+		p.buys = map[placement.Site]int{}
+	}
+	zones := placement.Zones{}
+	for z, n := range d.Zones {
+		zones[z] = n
+	}
+	need := placement.Of(d.Spec)
+	for range d.Count {
+		if b := p.fit(d.Spec, need, zones); b != nil {
+			b.free = b.free.Minus(need)
+			zones[b.Zone]++
+			continue
+		}
+		site, t, ok := p.pick(d, zones)
+		if !ok {
+			return
+		}
+		p.buys[site]++
+		p.Budget--
+		p.bins = append(p.bins, &bin{site, placement.OfType(t).Minus(need)})
+		zones[site.Zone]++
+	}
+}
+
+func (p *Planner) fit(s *wire.Spec, need placement.Resources, zones placement.Zones) *bin {
+	for _, b := range p.bins {
+		if placement.Allowed(s, b.Site) && need.Within(b.free) && zones.Admits(s, b.Zone) {
+			return b
+		}
+	}
+	return nil
+}
+
+func (p *Planner) pick(d Demand, zones placement.Zones) (placement.Site, *wire.MachineType, bool) {
+	if p.Budget <= 0 {
+		return placement.Site{}, nil, false
+	}
+	type option struct {
+		site placement.Site
+		t    *wire.MachineType
+		cost float64
+	}
+	var options []option
+	for i := range p.Types {
+		t := &p.Types[i]
+		if !placement.Fits(d.Spec, t) {
+			continue
+		}
+		// How many such tasks a machine holds decides what one costs.
+		n := perMachine(d.Spec, t)
+		for _, z := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				site := placement.Site{Type: t.Name, Zone: z, Spot: spot}
+				if !placement.Allowed(d.Spec, site) || !zones.Admits(d.Spec, z) || p.Blocked(site) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				used := min(n, max(1, d.Count))
+				cost := price / float64(used)
+				cost *= 1 + 0.02*float64(p.Held[site]+p.buys[site])
+				options = append(options, option{site, t, cost})
+			}
+		}
+	}
+	if len(options) == 0 {
+		return placement.Site{}, nil, false
+	}
+	sort.Slice(options, func(i, j int) bool {
+		a, b := options[i], options[j]
+		if a.cost != b.cost {
+			return a.cost < b.cost
+		}
+		if a.site.Zone != b.site.Zone {
+			return a.site.Zone < b.site.Zone
+		}
+		return a.site.Type < b.site.Type
+	})
+	return options[0].site, options[0].t, true
+}
+
+func perMachine(s *wire.Spec, t *wire.MachineType) int {
+	n := 1 << 20
+	for _, r := range [][2]float64{{s.CPUs, t.CPUs}, {s.GPUs, t.GPUs}, {s.MemoryGB, t.MemoryGB}} {
+		if r[0] > 0 {
+			n = min(n, int(r[1]/r[0]+1e-9))
+		}
+	}
+	return max(1, n)
+}
+
+// Buys lists the purchases in a fixed order.
+func (p *Planner) Buys() []Buy {
+	var out []Buy
+	for s, n := range p.buys {
+		out = append(out, Buy{s, n})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i].Site, out[j].Site
+		if a.Type != b.Type {
+			return a.Type < b.Type
+		}
+		if a.Zone != b.Zone {
+			return a.Zone < b.Zone
+		}
+		return !a.Spot && b.Spot
+	})
+	return out
+}
--- /dev/null
+++ b/scheduler/machine.go
@@ -0,0 +1,759 @@
+package scheduler
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/scheduler/placement"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// shownTask is one entry of a worker's newest report.
+type shownTask struct {
+	ref     ids.TaskRef
+	attempt ids.Attempt
+	state   string
+	cause   string
+}
+
+type image struct {
+	gb   float64
+	used ids.Instant
+}
+
+type machine struct {
+	placement.Site
+	host     ids.Host
+	endpoint string
+	typ      *wire.MachineType
+	total    placement.Resources
+	used     placement.Resources
+	strays   placement.Resources
+	strayed  []*job // whose tasks the strays are, for the books
+	known    ids.Instant
+	bootBy   ids.Instant
+
+	reported   bool
+	tenure     ids.Tenure
+	tick       ids.Tick
+	token      ids.Token // highest that the worker has shown
+	lastHeard  ids.Instant
+	answeredAt ids.Instant
+	fenced     bool
+	fencedAt   ids.Instant
+	counter    uint64
+
+	doInflight bool
+	doRetryAt  ids.Instant
+	doFailed   bool      // nothing heard since a direct command failed
+	doToken    ids.Token // highest under which a direct run was sent
+	showing    bool
+	showAt     ids.Instant
+
+	tasks  map[ids.TaskRef]*assignment
+	shown  []shownTask
+	images map[ids.Image]*image
+
+	noticeBy  ids.Instant // 0: no notice
+	listed    string
+	missing   int // machine lists in a row without it, after it was listed
+	returning bool
+	asking    bool // a return call is on its way
+	idleSince ids.Instant
+
+	// errors counts failed tasks since the last that succeeded, by job.
+	errors     map[ids.JobID]int
+	quarantine ids.Instant
+	lastError  ids.Instant
+}
+
+func (m *machine) free() placement.Resources { return m.total.Minus(m.used).Minus(m.strays) }
+
+func (m *machine) shows(ref ids.TaskRef, attempt ids.Attempt) *shownTask {
+	for i := range m.shown {
+		if m.shown[i].ref == ref && m.shown[i].attempt == attempt {
+			return &m.shown[i]
+		}
+	}
+	return nil
+}
+
+func (m *machine) showsAny(ref ids.TaskRef) bool {
+	for i := range m.shown {
+		if m.shown[i].ref == ref {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *machine) sorted() []*assignment {
+	out := make([]*assignment, 0, len(m.tasks))
+	for _, a := range m.tasks {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if out[i].job.id != out[k].job.id {
+			return out[i].job.id < out[k].job.id
+		}
+		return out[i].index < out[k].index
+	})
+	return out
+}
+
+// machine finds or makes the entry of a host.
+func (c *Core) machine(h ids.Host) *machine {
+	m := c.machines[h]
+	if m == nil {
+		m = &machine{host: h, known: c.now, idleSince: c.now, tasks: map[ids.TaskRef]*assignment{},
+			images: map[ids.Image]*image{}, errors: map[ids.JobID]int{}}
+		c.machines[h] = m
+		i, _ := slices.BinarySearchFunc(c.order, h, func(o *machine, h ids.Host) int {
+			if o.host < h {
+				return -1
+			}
+			if o.host > h {
+				return 1
+			}
+			return 0
+		})
+		c.order = slices.Insert(c.order, i, m)
+	}
+	return m
+}
+
+// setSite fills in what a machine is. Tasks that records placed on it before
+// its zone was known are counted to the zone now.
+func (c *Core) setSite(m *machine, s placement.Site, endpoint string) {
+	if endpoint != "" {
+		m.endpoint = endpoint
+	}
+	if m.Site == s {
+		return
+	}
+	for _, a := range m.tasks {
+		if a.job.zones[m.Zone]--; a.job.zones[m.Zone] <= 0 {
+			delete(a.job.zones, m.Zone)
+		}
+		a.job.zones[s.Zone]++
+	}
+	m.Site = s
+	c.fillType(m)
+	c.changed = true
+}
+
+func (c *Core) fillType(m *machine) {
+	if t := c.types[m.Type]; t != nil {
+		m.typ = t
+		m.total = placement.OfType(t)
+		if m.bootBy == 0 {
+			m.bootBy = m.known.Add(ids.Seconds(t.BootS*c.opt.BootFactor) + c.opt.ListLag)
+		}
+	}
+}
+
+// tokenOf is the token that commands to a worker carry now.
+func (c *Core) tokenOf(m *machine) ids.Token { return ids.NewToken(c.opt.Stamp, m.counter) }
+
+// Report takes a worker's report and returns the answer. Direct marks reports
+// that came as answers to direct commands: they renew no lease. ok is false if
+// this leader must not answer.
+func (c *Core) Report(now ids.Instant, rep *wire.Report, direct bool) (answer wire.Orders, ok bool) {
+	c.now = now
+	if rep.Token.Stamp() > c.opt.Stamp {
+		c.deposed = true
+		return wire.Orders{}, false
+	}
+	if c.gone[rep.Host] {
+		// A message that was held back; the machine was given back since.
+		return wire.Orders{Token: ids.NewToken(c.opt.Stamp, 0), Orders: []wire.Order{}}, true
+	}
+	m := c.machine(rep.Host)
+	c.setSite(m, placement.Site{Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot}, rep.Endpoint)
+	m.lastHeard = now
+	m.doFailed = false
+	if !m.reported || rep.Newer(m.tenure, m.tick) {
+		c.apply(m, rep)
+	}
+	if direct {
+		return wire.Orders{}, true
+	}
+	m.answeredAt = now
+	return c.answer(m), true
+}
+
+// apply takes in a report that is newer than all before it.
+func (c *Core) apply(m *machine, rep *wire.Report) {
+	if !m.reported {
+		m.reported = true
+		m.idleSince = c.now
+		c.changed = true
+	}
+	m.tenure, m.tick = rep.Tenure, rep.Tick
+	m.token = max(m.token, rep.Token)
+	if !m.fenced && rep.Token >= ids.NewToken(c.opt.Stamp, 0) {
+		m.fenced, m.fencedAt = true, c.now
+	}
+	if rep.NoticeS != nil {
+		if m.noticeBy == 0 {
+			c.changed = true
+		}
+		m.noticeBy = c.now.Add(ids.Seconds(*rep.NoticeS))
+	}
+	m.shown = m.shown[:0]
+	for _, t := range rep.Tasks {
+		if ref, ok := ids.ParseTask(t.Name); ok {
+			m.shown = append(m.shown, shownTask{ref, t.Attempt, t.State, t.Cause})
+		}
+	}
+	for _, a := range m.sorted() {
+		s := m.shows(a.ref(), a.attempt)
+		switch {
+		case s == nil:
+			c.absent(a)
+		case s.state == wire.TaskEnded:
+			c.endedTask(a, s.cause)
+		default:
+			c.alive(a, s)
+		}
+	}
+	c.countStrays(m)
+}
+
+// absent handles a recorded task that the newest report does not show.
+func (c *Core) absent(a *assignment) {
+	m := a.m
+	switch {
+	case !a.mayRun():
+		// Not sent yet.
+	case a.sent && m.tenure > a.sentTenure,
+		// The worker's lease ran out since; it forgot all its tasks, and the
+		// new session takes no command meant for the old one.
+		m.token > a.sentToken:
+		// Whatever carried run under a lower token can have no effect now.
+		if a.sent && !a.inherited && a.stop == stopNone && m.tenure == a.sentTenure && !a.seen {
+			// Only the message was voided. The place still stands, and the
+			// same attempt goes out again.
+			a.sent = false
+			return
+		}
+		c.release(a)
+	case a.seen && a.stop == stopNone:
+		// A worker keeps what it has until reap. Should one vanish all the
+		// same, it is not started elsewhere before old commands are void.
+		c.stop(a, stopDrained)
+	}
+}
+
+func (c *Core) alive(a *assignment, s *shownTask) {
+	a.seen = true
+	if !a.sent {
+		// Inherited: it surely runs here now, and newer tokens speak for it.
+		a.sent, a.inherited = true, false
+		a.sentTenure = a.m.tenure
+	}
+	if a.phase != s.state {
+		a.phase = s.state
+		a.since = c.now
+		if s.state == wire.TaskRunning {
+			c.noteImage(a)
+			if a.m.errors[a.job.id] == 0 && len(a.m.errors) == 0 {
+				a.m.lastError = 0
+			}
+		}
+	}
+}
+
+// noteImage remembers that a machine holds a job's image, and forgets the
+// images that the worker's cache has dropped for it.
+func (c *Core) noteImage(a *assignment) {
+	m := a.m
+	m.images[a.job.spec.Image] = &image{a.job.spec.ImageGB, c.now}
+	if m.typ == nil || m.typ.CacheGB <= 0 {
+		return
+	}
+	sum := 0.0
+	for _, im := range m.images {
+		sum += im.gb
+	}
+	for sum > m.typ.CacheGB && len(m.images) > 1 {
+		var oldest ids.Image
+		for name, im := range m.images {
+			if o := m.images[oldest]; o == nil || im.used < o.used || im.used == o.used && name < oldest {
+				oldest = name
+			}
+		}
+		sum -= m.images[oldest].gb
+		delete(m.images, oldest)
+	}
+}
+
+func (c *Core) endedTask(a *assignment, cause string) {
+	m, j := a.m, a.job
+	if im := m.images[j.spec.Image]; im != nil {
+		im.used = c.now
+	}
+	switch cause {
+	case wire.CauseDone:
+		c.complete(a)
+		clear(m.errors)
+		return
+	case wire.CauseError:
+		c.taskFailed(a)
+	case wire.CauseFull:
+		// Our view of the machine was wrong; give it a moment.
+		c.avoid(j, m)
+	case wire.CauseInUse:
+		c.avoid(j, m)
+	case wire.CauseNoSuch:
+		j.retryAt = c.now.Add(2 * time.Second)
+	}
+	c.release(a)
+}
+
+func (c *Core) avoid(j *job, m *machine) {
+	if j.failedOn == nil {
+		j.failedOn = map[ids.Host]int{}
+	}
+	j.failedOn[m.host]++
+}
+
+const (
+	quarantineFor = 2 * time.Minute
+	backoffFirst  = 2 * time.Second
+	backoffMost   = time.Minute
+)
+
+// taskFailed weighs whether the machine or the job is at fault. Failures of
+// several jobs on one machine condemn the machine; failures of one job on
+// several machines make the job wait, but never give it up.
+func (c *Core) taskFailed(a *assignment) {
+	m, j := a.m, a.job
+	c.avoid(j, m)
+	m.errors[j.id]++
+	m.lastError = c.now
+	total := 0
+	for _, n := range m.errors {
+		total += n
+	}
+	if len(m.errors) >= 2 || total >= 2 && len(j.failedOn) == 1 {
+		m.quarantine = c.now.Add(quarantineFor)
+	}
+	if len(j.failedOn) >= 3 && j.succeeded == 0 {
+		j.backoff = min(max(2*j.backoff, backoffFirst), backoffMost)
+		j.retryAt = c.now.Add(j.backoff)
+		clear(j.failedOn)
+	}
+}
+
+// countStrays takes what a worker has beyond the records into account: its
+// room on the machine and its team's quota.
+func (c *Core) countStrays(m *machine) {
+	for _, j := range m.strayed {
+		c.book.Free(j.spec.Team, j.amount())
+	}
+	m.strayed = m.strayed[:0]
+	m.strays = placement.Resources{}
+	for i := range m.shown {
+		s := &m.shown[i]
+		if s.state == wire.TaskEnded {
+			continue
+		}
+		if a := m.tasks[s.ref]; a != nil && a.attempt == s.attempt {
+			continue
+		}
+		if j := c.jobs[s.ref.Job]; j != nil {
+			m.strays = m.strays.Plus(placement.Of(j.spec))
+			m.strayed = append(m.strayed, j)
+			c.book.Take(j.spec.Team, j.amount())
+		}
+	}
+}
+
+// reapable tells whether the end of an attempt is recorded, or is without
+// consequence.
+func (c *Core) reapable(m *machine, s *shownTask) bool {
+	if a := m.tasks[s.ref]; a != nil && a.attempt == s.attempt {
+		return false
+	}
+	j := c.jobs[s.ref.Job]
+	if j == nil || j.status != wire.StatusQueued {
+		return true
+	}
+	if j.finishing || c.finishable[j] || s.ref.Index >= len(j.tasks) {
+		return false
+	}
+	sl := j.slices[s.ref.Index/c.opt.SliceTasks]
+	return !sl.dirty && !sl.inflight
+}
+
+// maxOrders keeps answers inside the protocol's limit for bodies.
+const maxOrders = 300
+
+// answer makes the answer to a report: what to end, what to forget, what to
+// start.
+func (c *Core) answer(m *machine) wire.Orders {
+	orders := c.kills(m)
+	if !m.doInflight {
+		var reaps []wire.Order
+		for i := range m.shown {
+			if s := &m.shown[i]; s.state == wire.TaskEnded && c.reapable(m, s) && len(reaps) < maxOrders/2 {
+				reaps = append(reaps, wire.Order{Verb: wire.VerbReap, Name: s.ref.String(), Attempt: s.attempt})
+			}
+		}
+		// After reap the worker would start the attempt again if a direct run
+		// for it came late or twice. So reap goes out under a token above
+		// every one that a direct run carried.
+		if len(reaps) > 0 && m.doToken >= c.tokenOf(m) {
+			m.counter++
+		}
+		orders = append(orders, reaps...)
+	}
+	runs := c.runs(m, true, maxOrders-len(orders))
+	return wire.Orders{Token: c.tokenOf(m), Orders: append(orders, runs...)}
+}
+
+// kills lists what must end on a machine. It also raises the counter if the
+// message that would start a stopped task may still be under way.
+func (c *Core) kills(m *machine) []wire.Order {
+	orders := []wire.Order{}
+	for _, a := range m.sorted() {
+		if a.stop == stopNone || !a.mayRun() {
+			continue
+		}
+		s := m.shows(a.ref(), a.attempt)
+		if s == nil && !a.inherited && a.sentToken >= c.tokenOf(m) && !m.doInflight {
+			m.counter++
+		}
+		if len(orders) >= maxOrders/2 {
+			continue
+		}
+		grace := a.graceS
+		if a.killAt != 0 && c.now > a.killAt.Add(ids.Seconds(a.graceS)) {
+			grace = 0
+		}
+		if a.killAt == 0 {
+			a.killAt = c.now
+		}
+		orders = append(orders, wire.Order{Verb: wire.VerbKill, Name: a.ref().String(), Attempt: a.attempt, GraceS: grace})
+	}
+	for i := range m.shown {
+		s := &m.shown[i]
+		if s.state == wire.TaskEnded || len(orders) >= maxOrders/2 {
+			continue
+		}
+		if a := m.tasks[s.ref]; a == nil || a.attempt != s.attempt {
+			orders = append(orders, wire.Order{Verb: wire.VerbKill, Name: s.ref.String(), Attempt: s.attempt})
+		}
+	}
+	return orders
+}
+
+// runs lists what should start on a machine and has not been seen there.
+// Again asks also for what was sent before.
+func (c *Core) runs(m *machine, again bool, most int) []wire.Order {
+	var orders []wire.Order
+	if m.returning {
+		return orders
+	}
+	token := c.tokenOf(m)
+	for _, a := range m.sorted() {
+		if !a.recorded || a.stop != stopNone || a.inherited || a.seen || a.sent && !again || len(orders) >= most {
+			continue
+		}
+		if m.shows(a.ref(), a.attempt) != nil {
+			continue
+		}
+		a.sent = true
+		a.sentToken = max(a.sentToken, token)
+		a.sentTenure = m.tenure
+		orders = append(orders, wire.Order{Verb: wire.VerbRun, Name: a.ref().String(), Attempt: a.attempt})
+	}
+	return orders
+}
+
+// direct lists the workers to which a command should go at once.
+func (c *Core) direct() {
+	for _, m := range c.order {
+		if m.returning || m.endpoint == "" {
+			continue
+		}
+		if !m.reported {
+			// After a change of leaders the worker's session is not known, and
+			// it may take seconds until it finds its way here.
+			if len(m.tasks) > 0 && !m.showing && c.now >= m.showAt {
+				m.showing, m.showAt = true, c.now.Add(2*time.Second)
+				c.out.Show = append(c.out.Show, m.host)
+			}
+			continue
+		}
+		if m.doInflight || c.now < m.doRetryAt || m.doFailed {
+			continue
+		}
+		if c.wantsDirect(m) {
+			c.out.Direct = append(c.out.Direct, m.host)
+		}
+	}
+}
+
+func (c *Core) wantsDirect(m *machine) bool {
+	if !m.fenced && len(m.tasks) > 0 {
+		return true
+	}
+	for _, a := range m.tasks {
+		if a.recorded && !a.sent && !a.inherited && a.stop == stopNone {
+			return true
+		}
+		if a.stop != stopNone && a.mayRun() && a.killAt == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TakeDirect hands out the command that should go to a worker now. It must be
+// followed by DirectResult.
+func (c *Core) TakeDirect(now ids.Instant, h ids.Host) (d wire.Direct, endpoint string, ok bool) {
+	c.now = now
+	m := c.machines[h]
+	if m == nil || m.doInflight || !m.reported || m.returning {
+		return wire.Direct{}, "", false
+	}
+	orders := c.kills(m)
+	token := c.tokenOf(m)
+	if runs := c.runs(m, false, maxOrders-len(orders)); len(runs) > 0 {
+		orders = append(orders, runs...)
+		m.doToken = max(m.doToken, token)
+	}
+	m.doInflight = true
+	return wire.Direct{Token: token, Tenure: m.tenure, Orders: orders}, m.endpoint, true
+}
+
+// DirectResult takes the answer to a direct command, or its absence. Without
+// one, the command may still be carried out; the tokens see to that.
+func (c *Core) DirectResult(now ids.Instant, h ids.Host, rep *wire.Report) {
+	c.now = now
+	m := c.machines[h]
+	if m == nil {
+		return
+	}
+	m.doInflight = false
+	if rep == nil {
+		m.doRetryAt = now.Add(time.Second)
+		m.doFailed = true
+		return
+	}
+	if rep.Host == h {
+		c.Report(now, rep, true)
+	}
+}
+
+// Endpoint is a worker's address.
+func (c *Core) Endpoint(h ids.Host) string {
+	if m := c.machines[h]; m != nil {
+		return m.endpoint
+	}
+	return ""
+}
+
+// ShowResult takes the answer to a request for a report, or nil.
+func (c *Core) ShowResult(now ids.Instant, h ids.Host, rep *wire.Report) {
+	c.now = now
+	m := c.machines[h]
+	if m == nil {
+		return
+	}
+	m.showing = false
+	if rep != nil && rep.Host == h {
+		c.Report(now, rep, true)
+	}
+}
+
+// leaseLost tells whether a worker has surely lost its lease: nobody can have
+// answered it for that long. A predecessor without the state service may have
+// gone on answering for its grace, until the worker was fenced.
+func (c *Core) leaseLost(m *machine) bool {
+	last := c.started.Add(c.opt.Grace)
+	if !c.opt.Predecessor {
+		last = c.started
+	}
+	if m.fenced {
+		last = max(m.fencedAt, m.answeredAt)
+	} else if m.answeredAt > last {
+		last = m.answeredAt
+	}
+	return c.now > last.Add(ids.Drift(c.opt.Lease)+time.Second)
+}
+
+// usable tells whether new tasks may go to a machine.
+func (c *Core) usable(m *machine) bool {
+	return m.reported && m.typ != nil && !m.returning && m.noticeBy == 0 && !m.doFailed &&
+		c.now < m.lastHeard.Add(c.opt.Report*3/2+1500*time.Millisecond)
+}
+
+// watchMachines handles what time alone brings about.
+func (c *Core) watchMachines() {
+	c.drainNoticed()
+	// When most machines fall silent at once, it is more likely this node's
+	// network than the machines: they are not given back for that.
+	heard, silent := 0, 0
+	for _, m := range c.order {
+		if m.reported {
+			heard++
+			if c.silent(m, c.opt.Lease/2) {
+				silent++
+			}
+		}
+	}
+	mass := silent >= 3 && 2*silent > heard
+	for _, m := range c.order {
+		if m.asking {
+			continue
+		}
+		if m.returning {
+			c.giveBack(m)
+			continue
+		}
+		switch {
+		case m.listed == "failed":
+			c.giveBack(m)
+		case m.missing >= 2 && c.silent(m, 2*c.opt.Report):
+			// It was listed and is not any more: it was taken. Returning what
+			// is gone does nothing, and the answer proves that it is gone.
+			c.giveBack(m)
+		case !m.reported && m.bootBy != 0 && c.now > m.bootBy && len(m.tasks) == 0:
+			c.giveBack(m)
+		case len(m.tasks) > 0 && c.leaseLost(m) && c.silent(m, c.opt.Lease):
+			for _, a := range m.sorted() {
+				if !a.saving {
+					c.release(a)
+				}
+			}
+			if !mass {
+				c.giveBack(m)
+			}
+		case m.reported && len(m.tasks) == 0 && !mass && c.silent(m, c.opt.Lease*3/2):
+			c.giveBack(m)
+		case c.overdue(m):
+			c.giveBack(m)
+		}
+	}
+}
+
+// drainNoticed stops what will not complete before a machine is taken.
+func (c *Core) drainNoticed() {
+	for _, m := range c.order {
+		if m.noticeBy == 0 {
+			continue
+		}
+		for _, a := range m.sorted() {
+			if a.stop == stopNone && !c.completesBy(a, m.noticeBy) {
+				c.stop(a, stopDrained)
+			}
+		}
+	}
+}
+
+// completesBy guesses whether a task will be done by a time.
+func (c *Core) completesBy(a *assignment, by ids.Instant) bool {
+	if a.job.spec.Service || a.phase != wire.TaskRunning {
+		return false
+	}
+	return a.since.Add(ids.Seconds(a.job.spec.EstimateS)) < by
+}
+
+func (c *Core) silent(m *machine, d time.Duration) bool {
+	return c.now > max(m.lastHeard, m.known).Add(d)
+}
+
+// overdue tells whether a machine that cannot be reached holds a task of a
+// withdrawn job that must be gone soon. Giving the machine back is the one
+// sure way.
+func (c *Core) overdue(m *machine) bool {
+	if !c.silent(m, 2*c.opt.Report) {
+		return false
+	}
+	for _, a := range m.tasks {
+		if a.stop == stopWithdrawn && c.now > a.job.stopAt.Add(c.opt.Cancel*45/100) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) giveBack(m *machine) {
+	for _, a := range m.tasks {
+		if a.saving {
+			m.returning = true // as soon as the record's outcome is known
+			return
+		}
+	}
+	m.returning, m.asking = true, true
+	c.out.Return = append(c.out.Return, m.host)
+	c.changed = true
+}
+
+// ReturnResult takes the outcome of giving machines back. Once it succeeded,
+// the machines and all on them are gone.
+func (c *Core) ReturnResult(now ids.Instant, hosts []ids.Host, ok bool) {
+	c.now = now
+	for _, h := range hosts {
+		m := c.machines[h]
+		if m == nil {
+			continue
+		}
+		m.asking = false
+		if ok {
+			c.forget(m)
+		}
+	}
+}
+
+func (c *Core) forget(m *machine) {
+	for _, a := range m.sorted() {
+		if !a.saving {
+			c.release(a)
+		}
+	}
+	if len(m.tasks) > 0 {
+		return // a record is being written; the return is asked for again
+	}
+	for _, j := range m.strayed {
+		c.book.Free(j.spec.Team, j.amount())
+	}
+	c.gone[m.host] = true
+	delete(c.machines, m.host)
+	i := slices.Index(c.order, m)
+	c.order = slices.Delete(c.order, i, i+1)
+	if m.endpoint != "" {
+		c.out.Forget = append(c.out.Forget, m.endpoint)
+	}
+	c.changed = true
+}
+
+// MachineList takes the cloud's list. It lags and may be older than one
+// before, so absence proves nothing by itself. asked is when it was asked for.
+func (c *Core) MachineList(now, asked ids.Instant, list []wire.Machine) {
+	c.now = now
+	listed := map[ids.Host]bool{}
+	for _, w := range list {
+		listed[w.Host] = true
+		if c.gone[w.Host] {
+			continue
+		}
+		m := c.machines[w.Host]
+		if m == nil {
+			m = c.machine(w.Host)
+			m.known = asked.Add(-ids.Seconds(w.AgeS))
+		}
+		c.setSite(m, placement.Site{Type: w.Type, Zone: w.Zone, Spot: w.Spot}, w.Endpoint)
+		m.listed, m.missing = w.Status, 0
+	}
+	for _, m := range c.order {
+		if m.listed != "" && !listed[m.host] {
+			m.missing++
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/placement/placement.go
@@ -0,0 +1,114 @@
+// Package placement decides which machine a task goes to.
+package placement
+
+import (
+	"slices"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/wire"
+)
+
+const slack = 1e-9
+
+// Resources is what a task takes of a machine, or a machine offers.
+type Resources struct{ CPUs, GPUs, MemoryGB float64 }
+
+// Of is what one task of a job takes.
+func Of(s *wire.Spec) Resources { return Resources{s.CPUs, s.GPUs, s.MemoryGB} }
+
+// OfType is what a machine of a type offers.
+func OfType(t *wire.MachineType) Resources { return Resources{t.CPUs, t.GPUs, t.MemoryGB} }
+
+// Plus adds.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.CPUs + o.CPUs, r.GPUs + o.GPUs, r.MemoryGB + o.MemoryGB}
+}
+
+// Minus subtracts.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.MemoryGB - o.MemoryGB}
+}
+
+// Within tells whether r fits into o.
+func (r Resources) Within(o Resources) bool {
+	return r.CPUs <= o.CPUs+slack && r.GPUs <= o.GPUs+slack && r.MemoryGB <= o.MemoryGB+slack
+}
+
+// Site is where a machine stands and what kind it is.
+type Site struct {
+	Type ids.MachineType
+	Zone ids.Zone
+	Spot bool
+}
+
+// Allowed tells whether a job may use a site at all.
+func Allowed(s *wire.Spec, at Site) bool {
+	if at.Spot && !s.Spot {
+		return false
+	}
+	if s.Zone != "" && s.Zone != at.Zone {
+		return false
+	}
+	return len(s.Types) == 0 || slices.Contains(s.Types, at.Type)
+}
+
+// Fits tells whether a task of the job fits an empty machine of a type.
+func Fits(s *wire.Spec, t *wire.MachineType) bool {
+	return (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) && Of(s).Within(OfType(t))
+}
+
+// Zones counts a job's tasks by zone. What may still be on a machine counts.
+type Zones map[ids.Zone]int
+
+// Admits tells whether one more task in a zone keeps oneZone and spread.
+func (z Zones) Admits(s *wire.Spec, zone ids.Zone) bool {
+	if s.OneZone {
+		for other, n := range z {
+			if other != zone && n > 0 {
+				return false
+			}
+		}
+	}
+	if s.Spread && z[zone]+1 > (s.Tasks+1)/2 {
+		return false
+	}
+	return true
+}
+
+// Offer is one machine as seen by a task that looks for a place.
+type Offer struct {
+	Site
+	Free, Total Resources
+	Cached      bool // the image is there
+	Fetching    bool // the image is on its way
+	SameJob     int  // tasks of the same job on the machine
+	SameZone    int  // tasks of the same job in the zone
+	Suspect     bool // the machine failed tasks or runs them slowly
+}
+
+// Score ranks offers for a job; the largest goes first. Image and kind of
+// machine weigh most: a fetch delays a start more than anything else here,
+// and spot work on ordinary machines takes room from work that has no choice.
+func Score(s *wire.Spec, o *Offer) float64 {
+	score := 0.0
+	switch {
+	case o.Cached:
+		score += 100
+	case o.Fetching:
+		score += 40
+	}
+	if s.Spot && o.Spot {
+		score += 60
+	}
+	if o.Suspect {
+		score -= 500
+	}
+	if s.Service {
+		score -= 15*float64(o.SameJob) + 5*float64(o.SameZone)
+	}
+	if o.Total.CPUs > 0 {
+		left := (o.Free.CPUs - s.CPUs) / o.Total.CPUs
+		score += 10 * (1 - left)
+	}
+	return score
+}
--- /dev/null
+++ b/scheduler/quota/quota.go
@@ -0,0 +1,148 @@
+// Package quota keeps the teams' books: guarantees (nominal quota), limits,
+// and how much idle quota may be lent.
+package quota
+
+import (
+	"sort"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// slack keeps sums of decimal amounts from failing a comparison by rounding.
+// It always works against the asker for the hard limit.
+const slack = 1e-9
+
+// Amount is a bundle of what quota counts.
+type Amount struct{ CPUs, GPUs float64 }
+
+// Plus adds.
+func (a Amount) Plus(b Amount) Amount { return Amount{a.CPUs + b.CPUs, a.GPUs + b.GPUs} }
+
+// Minus subtracts.
+func (a Amount) Minus(b Amount) Amount { return Amount{a.CPUs - b.CPUs, a.GPUs - b.GPUs} }
+
+// Times multiplies.
+func (a Amount) Times(n int) Amount { return Amount{a.CPUs * float64(n), a.GPUs * float64(n)} }
+
+// Within tells whether a fits into b.
+func (a Amount) Within(b Amount) bool { return a.CPUs <= b.CPUs+slack && a.GPUs <= b.GPUs+slack }
+
+func (a Amount) positive() Amount { return Amount{max(0, a.CPUs), max(0, a.GPUs)} }
+
+func least(a, b Amount) Amount { return Amount{min(a.CPUs, b.CPUs), min(a.GPUs, b.GPUs)} }
+
+// Team is a team's quota.
+type Team struct {
+	Name    ids.Team
+	Nominal Amount
+	Limit   Amount
+	// Lend bounds how much of the idle nominal quota others may use.
+	Lend Amount
+}
+
+type account struct {
+	Team
+	used      Amount
+	holdUntil ids.Instant
+}
+
+// Book counts what every team uses. Whatever may be on a machine counts as
+// used; the caller subtracts only what is surely gone.
+type Book struct {
+	accounts map[ids.Team]*account
+	names    []ids.Team
+}
+
+// NewBook opens the books for the teams.
+func NewBook(teams []Team) *Book {
+	b := &Book{accounts: map[ids.Team]*account{}}
+	for _, t := range teams {
+		b.accounts[t.Name] = &account{Team: t}
+		b.names = append(b.names, t.Name)
+	}
+	sort.Slice(b.names, func(i, j int) bool { return b.names[i] < b.names[j] })
+	return b
+}
+
+// Known tells whether a team exists.
+func (b *Book) Known(t ids.Team) bool { return b.accounts[t] != nil }
+
+// Limit is the most that a team may use at any time.
+func (b *Book) Limit(t ids.Team) Amount {
+	if a := b.accounts[t]; a != nil {
+		return a.Limit
+	}
+	return Amount{}
+}
+
+// Used is what a team uses now.
+func (b *Book) Used(t ids.Team) Amount {
+	if a := b.accounts[t]; a != nil {
+		return a.used
+	}
+	return Amount{}
+}
+
+// Take counts an amount as used, whatever the limits say: records that were
+// found are counted even if a limit has been lowered since.
+func (b *Book) Take(t ids.Team, m Amount) {
+	if a := b.accounts[t]; a != nil {
+		a.used = a.used.Plus(m)
+	}
+}
+
+// Free gives an amount back.
+func (b *Book) Free(t ids.Team, m Amount) {
+	if a := b.accounts[t]; a != nil {
+		a.used = a.used.Minus(m).positive()
+	}
+}
+
+// FitsNominal tells whether a team stays within its guarantee with m more.
+func (b *Book) FitsNominal(t ids.Team, m Amount) bool {
+	a := b.accounts[t]
+	return a != nil && a.used.Plus(m).Within(a.Nominal) && a.used.Plus(m).Within(a.Limit)
+}
+
+// FitsBorrowing tells whether a team may use m more, within its limit and
+// with what the others leave idle and lend.
+func (b *Book) FitsBorrowing(t ids.Team, m Amount, now ids.Instant) bool {
+	a := b.accounts[t]
+	if a == nil || !a.used.Plus(m).Within(a.Limit) {
+		return false
+	}
+	var over, lent Amount
+	for _, n := range b.names {
+		o := b.accounts[n]
+		used := o.used
+		if o == a {
+			used = used.Plus(m)
+		}
+		over = over.Plus(used.Minus(o.Nominal).positive())
+		if now < o.holdUntil {
+			continue
+		}
+		lent = lent.Plus(least(o.Nominal.Minus(used).positive(), o.Lend))
+	}
+	return over.Within(lent)
+}
+
+// Over is how much a team uses beyond its guarantee.
+func (b *Book) Over(t ids.Team) Amount {
+	a := b.accounts[t]
+	if a == nil {
+		return Amount{}
+	}
+	return a.used.Minus(a.Nominal).positive()
+}
+
+// Borrows tells whether a team uses more than its guarantee.
+func (b *Book) Borrows(t ids.Team) bool { return !b.Over(t).Within(Amount{}) }
+
+// Hold keeps a team's idle quota from being lent until a time, so that a team
+// that just reclaimed does not see it lent away at once.
+func (b *Book) Hold(t ids.Team, until ids.Instant) {
+	if a := b.accounts[t]; a != nil && until > a.holdUntil {
+		a.holdUntil = until
+	}
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,142 @@
+// Package server is the HTTP face of a controller towards users and workers.
+package server
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// Answer is a status, a body (nil: none), and how long to wait before asking
+// again (0: not said).
+type Answer struct {
+	Code  int
+	Body  any
+	Retry time.Duration
+}
+
+// Later is the answer when a request can't be served now: at once, with the
+// time after which asking again makes sense.
+func Later(after time.Duration) Answer { return Answer{Code: 503, Retry: after} }
+
+// Service is what stands behind the endpoints.
+type Service interface {
+	Submit(ctx context.Context, id ids.JobID, spec *wire.Spec) Answer
+	Status(ctx context.Context, id ids.JobID) Answer
+	Withdraw(ctx context.Context, id ids.JobID) Answer
+	Hello(ctx context.Context, raw []byte, rep *wire.Report) Answer
+	Healthy() bool
+}
+
+const mime = "application/msgpack"
+
+// New makes the HTTP application. conns bounds the open connections.
+func New(svc Service, conns int, log *slog.Logger) *fiber.App {
+	app := fiber.New(fiber.Config{
+		BodyLimit:         wire.MaxBody,
+		Concurrency:       conns,
+		ReadTimeout:       20 * time.Second,
+		WriteTimeout:      10 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		ReduceMemoryUsage: true,
+		CaseSensitive:     true,
+		StrictRouting:     true,
+		ErrorHandler: func(c fiber.Ctx, err error) error {
+			code := 500
+			var fe *fiber.Error
+			if errors.As(err, &fe) {
+				code = fe.Code
+			}
+			switch code {
+			case fiber.StatusRequestEntityTooLarge:
+				code = 400 // the protocol's word for a body above the limit
+			case fiber.StatusMethodNotAllowed:
+				code = 404
+			case 500:
+				log.Error("request failed", "path", c.Path(), "err", err)
+			}
+			return send(c, Answer{Code: code})
+		},
+	})
+	app.Use(func(c fiber.Ctx) (err error) {
+		defer func() {
+			if p := recover(); p != nil {
+				log.Error("handler panicked", "path", c.Path(), "panic", p)
+				err = send(c, Answer{Code: 500})
+			}
+		}()
+		return c.Next()
+	})
+	app.Get("/up", func(c fiber.Ctx) error {
+		if svc.Healthy() {
+			return send(c, Answer{Code: 200})
+		}
+		return send(c, Later(time.Second))
+	})
+	app.Post("/api/jobs", func(c fiber.Ctx) error {
+		id, spec, err := wire.ParseSubmission(c.Body())
+		if err != nil {
+			log.Debug("submission refused", "err", err)
+			return send(c, Answer{Code: 400})
+		}
+		return send(c, svc.Submit(c.Context(), id, spec))
+	})
+	app.Get("/api/jobs/:id", func(c fiber.Ctx) error {
+		id := ids.JobID(string([]byte(c.Params("id"))))
+		if !wire.ValidID(id) {
+			return send(c, Answer{Code: 404})
+		}
+		return send(c, svc.Status(c.Context(), id))
+	})
+	app.Post("/api/jobs/:id/withdraw", func(c fiber.Ctx) error {
+		id := ids.JobID(string([]byte(c.Params("id"))))
+		if !wire.ValidID(id) {
+			return send(c, Answer{Code: 404})
+		}
+		return send(c, svc.Withdraw(c.Context(), id))
+	})
+	app.Post("/hello", func(c fiber.Ctx) error {
+		raw := append([]byte(nil), c.Body()...)
+		rep := new(wire.Report)
+		if err := wire.Decode(raw, rep); err != nil || rep.Host == "" || rep.Tenure == 0 {
+			return send(c, Answer{Code: 400})
+		}
+		return send(c, svc.Hello(c.Context(), raw, rep))
+	})
+	return app
+}
+
+func send(c fiber.Ctx, a Answer) error {
+	c.Status(a.Code)
+	if a.Retry > 0 {
+		secs := int((a.Retry + time.Second - 1) / time.Second)
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(secs))
+	}
+	if a.Body == nil {
+		return nil
+	}
+	c.Set(fiber.HeaderContentType, mime)
+	if raw, ok := a.Body.([]byte); ok {
+		return c.Send(raw)
+	}
+	return c.Send(wire.Encode(a.Body))
+}
+
+// Serve answers on a listener until the context ends.
+func Serve(ctx context.Context, app *fiber.App, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(time.Second) })
+	defer stop()
+	err := app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,187 @@
+// Package wire holds the MessagePack bodies of PROTOCOL-ospreystile.md and the
+// checks on what users send. Protocol words stay in this package's tags; the
+// rest of the program uses the plain terms.
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// MaxBody is the protocol's limit for request bodies in bytes.
+const MaxBody = 64 << 10
+
+// Encode writes a value as MessagePack.
+func Encode(v any) []byte {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		panic(fmt.Sprintf("wire: %T cannot be encoded: %v", v, err))
+	}
+	return buf.Bytes()
+}
+
+// Decode reads one MessagePack value that must fill the whole body. Decoders
+// of third parties have panicked on hostile input before; a panic is an error
+// of the input here.
+func Decode(b []byte, v any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("wire: malformed body: %v", p)
+		}
+	}()
+	r := bytes.NewReader(b)
+	if err := msgpack.NewDecoder(r).Decode(v); err != nil {
+		return fmt.Errorf("wire: %w", err)
+	}
+	if r.Len() > 0 {
+		return errors.New("wire: bytes after the body")
+	}
+	return nil
+}
+
+// Job states as told to users.
+const (
+	StatusQueued    = "queued"
+	StatusRunning   = "running"
+	StatusDone      = "done"
+	StatusWithdrawn = "withdrawn"
+)
+
+// Task states and causes in workers' reports, and the verbs of commands.
+const (
+	TaskPulling  = "pulling"
+	TaskRunning  = "running"
+	TaskFlushing = "flushing"
+	TaskEnded    = "ended"
+
+	CauseDone    = "done"
+	CauseStopped = "stopped"
+	CauseError   = "error"
+	CauseFull    = "full"
+	CauseInUse   = "in_use"
+	CauseNoSuch  = "no_such"
+
+	VerbRun  = "run"
+	VerbKill = "kill"
+	VerbReap = "reap"
+)
+
+// JobStatus is the answer about a job.
+type JobStatus struct {
+	ID      ids.JobID `msgpack:"nameId"`
+	Status  string    `msgpack:"status"`
+	Done    int       `msgpack:"done"`
+	Running int       `msgpack:"running"`
+}
+
+// Task is one task of a worker's report.
+type Task struct {
+	Name    string      `msgpack:"leg"`
+	Attempt ids.Attempt `msgpack:"try"`
+	State   string      `msgpack:"status"`
+	Cause   string      `msgpack:"cause"`
+	Saved   bool        `msgpack:"stored"`
+}
+
+// Report is what a worker says about itself.
+type Report struct {
+	Host     ids.Host        `msgpack:"host"`
+	Endpoint string          `msgpack:"endpoint"`
+	Type     ids.MachineType `msgpack:"frame"`
+	Zone     ids.Zone        `msgpack:"hall"`
+	Spot     bool            `msgpack:"loaner"`
+	Tenure   ids.Tenure      `msgpack:"tenure"`
+	Tick     ids.Tick        `msgpack:"tick"`
+	Token    ids.Token       `msgpack:"baton"`
+	NoticeS  *float64        `msgpack:"warningS"`
+	Tasks    []Task          `msgpack:"legs"`
+}
+
+// Newer tells whether r was made after the message with the given tenure and
+// tick.
+func (r *Report) Newer(t ids.Tenure, k ids.Tick) bool {
+	return r.Tenure > t || r.Tenure == t && r.Tick > k
+}
+
+// Order is a command to a worker.
+type Order struct {
+	Verb    string      `msgpack:"verb" cbor:"1,keyasint"`
+	Name    string      `msgpack:"leg" cbor:"2,keyasint"`
+	Attempt ids.Attempt `msgpack:"try" cbor:"3,keyasint"`
+	GraceS  float64     `msgpack:"leewayS" cbor:"4,keyasint"`
+}
+
+// Orders is the answer to a report.
+type Orders struct {
+	Token  ids.Token `msgpack:"baton" cbor:"1,keyasint"`
+	Orders []Order   `msgpack:"orders" cbor:"2,keyasint"`
+}
+
+// Direct is a command sent straight to a worker.
+type Direct struct {
+	Token  ids.Token  `msgpack:"baton"`
+	Tenure ids.Tenure `msgpack:"tenure"`
+	Orders []Order    `msgpack:"orders"`
+}
+
+// Redirect names the node that a worker should report to.
+type Redirect struct {
+	Leader ids.NodeName `msgpack:"steward,omitempty"`
+}
+
+// MachineType is one entry of the cloud's catalog.
+type MachineType struct {
+	Name      ids.MachineType `msgpack:"label"`
+	CPUs      float64         `msgpack:"cpus"`
+	GPUs      float64         `msgpack:"accelerators"`
+	MemoryGB  float64         `msgpack:"memoryGb"`
+	CacheGB   float64         `msgpack:"localGb"`
+	FetchGBps float64         `msgpack:"pullGbPerS"`
+	Price     float64         `msgpack:"hourly"`
+	SpotPrice float64         `msgpack:"marketPrice"`
+	BootS     float64         `msgpack:"readyS"`
+	Zones     []ids.Zone      `msgpack:"halls"`
+}
+
+// Catalog is the cloud's list of machine types.
+type Catalog struct {
+	Types []MachineType `msgpack:"frames"`
+}
+
+// Rental asks the cloud for machines.
+type Rental struct {
+	Request string          `msgpack:"booking"`
+	Type    ids.MachineType `msgpack:"frame"`
+	Zone    ids.Zone        `msgpack:"hall"`
+	Spot    bool            `msgpack:"loaner"`
+	Count   int             `msgpack:"number"`
+}
+
+// Hosts names machines.
+type Hosts struct {
+	Hosts []ids.Host `msgpack:"hosts"`
+}
+
+// Machine is one entry of the cloud's machine list.
+type Machine struct {
+	Host     ids.Host        `msgpack:"nameId"`
+	Endpoint string          `msgpack:"endpoint"`
+	Type     ids.MachineType `msgpack:"frame"`
+	Zone     ids.Zone        `msgpack:"hall"`
+	Spot     bool            `msgpack:"loaner"`
+	Status   string          `msgpack:"status"`
+	AgeS     float64         `msgpack:"ageS"`
+}
+
+// MachinePage is a page of the cloud's machine list.
+type MachinePage struct {
+	Hosts []Machine `msgpack:"hosts"`
+	More  bool      `msgpack:"hasNext"`
+}
--- /dev/null
+++ b/worker/worker.go
@@ -0,0 +1,73 @@
+// Package worker is the client for commands sent straight to workers.
+package worker
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"ospreystile.example/ospreystile/httpc"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// Client keeps one small client for each worker address.
+type Client struct {
+	mu    sync.Mutex
+	conns map[string]*httpc.Client
+}
+
+// New makes an empty client.
+func New() *Client { return &Client{conns: map[string]*httpc.Client{}} }
+
+func (c *Client) to(addr string) *httpc.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.conns[addr]
+	if h == nil {
+		h = httpc.New(addr, 2, 1<<20)
+		c.conns[addr] = h
+	}
+	return h
+}
+
+// Forget drops what is kept for a worker that is gone.
+func (c *Client) Forget(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.conns[addr]; h != nil {
+		h.Close()
+		delete(c.conns, addr)
+	}
+}
+
+// Do sends commands. Executed tells 200 from 409; the report is the worker's
+// either way. Any error leaves the outcome unknown unless it wraps
+// httpc.ErrNotSent.
+func (c *Client) Do(ctx context.Context, addr string, d wire.Direct, timeout time.Duration) (rep *wire.Report, executed bool, err error) {
+	if d.Orders == nil {
+		d.Orders = []wire.Order{}
+	}
+	return c.call(ctx, addr, "POST", "/do", wire.Encode(d), timeout)
+}
+
+// Show asks for the worker's report.
+func (c *Client) Show(ctx context.Context, addr string, timeout time.Duration) (*wire.Report, error) {
+	rep, _, err := c.call(ctx, addr, "GET", "/show", nil, timeout)
+	return rep, err
+}
+
+func (c *Client) call(ctx context.Context, addr, method, path string, body []byte, timeout time.Duration) (*wire.Report, bool, error) {
+	status, ans, err := c.to(addr).Do(ctx, method, path, body, timeout)
+	if err != nil {
+		return nil, false, fmt.Errorf("worker %s%s: %w", addr, path, err)
+	}
+	if status != 200 && status != 409 {
+		return nil, false, fmt.Errorf("worker %s%s: %w: status %d", addr, path, httpc.ErrNoAnswer, status)
+	}
+	rep := new(wire.Report)
+	if err := wire.Decode(ans, rep); err != nil {
+		return nil, false, fmt.Errorf("worker %s%s: %w: %w", addr, path, httpc.ErrNoAnswer, err)
+	}
+	return rep, status == 200, nil
+}
