--- a/election/election_test.go
+++ b/election/election_test.go
@@ -172,6 +172,7 @@
 type watcher struct {
 	mu      sync.Mutex
 	holding map[ids.NodeName]*Term
+	stamps  map[ids.Stamp]string // whose term it was, if asked for
 	clashes []string
 }
 
@@ -183,11 +184,33 @@
 }
 
 func (w *watcher) start(t *testing.T, s *service, name ids.NodeName, inc ids.Incarnation) *member {
-	m := &member{c: &client{s: s}, gone: make(chan struct{})}
-	m.e = New(m.c, Holder{Name: name, Incarnation: inc}, 3*time.Second, 20*time.Second, ids.Steady(), slog.New(slog.DiscardHandler),
+	c := &client{s: s}
+	return w.startOver(t, c, c, name, inc)
+}
+
+// kill ends a process without giving it the time to say so.
+func (w *watcher) kill(name ids.NodeName, m *member) {
+	m.c.refuse(true)
+	w.mu.Lock()
+	delete(w.holding, name)
+	w.mu.Unlock()
+	m.cancel()
+	<-m.gone
+}
+
+func (w *watcher) startOver(t *testing.T, c *client, over Store, name ids.NodeName, inc ids.Incarnation) *member {
+	m := &member{c: c, gone: make(chan struct{})}
+	m.e = New(over, Holder{Name: name, Incarnation: inc}, 3*time.Second, 20*time.Second, ids.Steady(), slog.New(slog.DiscardHandler),
 		func(ctx context.Context, term *Term) error {
 			w.mu.Lock()
 			w.holding[name] = term
+			if w.stamps != nil {
+				who := fmt.Sprintf("%s#%d", name, inc)
+				if had := w.stamps[term.Stamp]; had != "" {
+					w.clashes = append(w.clashes, fmt.Sprintf("stamp %d served %s and %s", term.Stamp, had, who))
+				}
+				w.stamps[term.Stamp] = who
+			}
 			w.mu.Unlock()
 			for ctx.Err() == nil {
 				w.check()
--- /dev/null
+++ b/election/restart_test.go
@@ -0,0 +1,130 @@
+package election
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/statestore"
+)
+
+// late is a client whose requests may arrive a second time, long after, and
+// whose answers may be lost: what a process sent goes on without it.
+type late struct {
+	*client
+	wire   *client // by which copies arrive, whatever became of the process
+	mu     sync.Mutex
+	rng    *rand.Rand
+	copies sync.WaitGroup
+}
+
+func (l *late) chance(n int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.IntN(n) == 0
+}
+
+func (l *late) again(f func()) {
+	if !l.chance(2) {
+		return
+	}
+	l.mu.Lock()
+	d := time.Duration(l.rng.IntN(12000)) * time.Millisecond
+	l.mu.Unlock()
+	l.copies.Go(func() { time.Sleep(d); f() })
+}
+
+func (l *late) Commit(ctx context.Context, t statestore.Txn) (statestore.Outcome, error) {
+	l.again(func() { _, _ = l.wire.Commit(context.Background(), t) })
+	out, err := l.client.Commit(ctx, t)
+	if l.chance(4) {
+		return statestore.Outcome{}, statestore.ErrUnknown
+	}
+	return out, err
+}
+
+func (l *late) Touch(ctx context.Context, id ids.LeaseID) error {
+	if l.chance(8) {
+		l.again(func() { _ = l.wire.Touch(context.Background(), id) })
+	}
+	return l.client.Touch(ctx, id)
+}
+
+func (l *late) Revoke(ctx context.Context, id ids.LeaseID) error {
+	l.again(func() { _ = l.wire.Revoke(context.Background(), id) })
+	if l.chance(3) {
+		return statestore.ErrUnknown // it never arrived
+	}
+	return l.client.Revoke(ctx, id)
+}
+
+// Processes that are back within a fraction of a second, also in the middle of
+// an election, while copies of what the earlier ones sent still arrive: claims,
+// renewals, and leases given up. No two may hold the key, no stamp may serve
+// two terms, and when it all ends somebody leads.
+func TestQuickRestartsWithLateCopies(t *testing.T) {
+	terms := 0
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, 5))
+				s, w := newService(), &watcher{holding: map[ids.NodeName]*Term{}}
+				s.ttl = 3 * time.Second
+				w.stamps = map[ids.Stamp]string{}
+				names := []ids.NodeName{"n0", "n1", "n2"}
+				nodes := map[ids.NodeName]*member{}
+				inc := ids.Incarnation(0)
+				var ways []*late
+				start := func(n ids.NodeName) {
+					inc++
+					l := &late{client: &client{s: s}, wire: &client{s: s}, rng: rand.New(rand.NewPCG(seed, uint64(inc)))}
+					ways = append(ways, l)
+					nodes[n] = w.startOver(t, l.client, l, n, inc)
+				}
+				for _, n := range names {
+					start(n)
+				}
+				for range 60 {
+					time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
+					n := names[rng.IntN(3)]
+					if lead, _ := w.leader(); lead != "" && rng.IntN(2) == 0 {
+						n = lead
+					}
+					if rng.IntN(4) == 0 { // the state service refuses it alone
+						m := nodes[n]
+						m.c.refuse(true)
+						time.Sleep(time.Duration(rng.IntN(9000)) * time.Millisecond)
+						m.c.refuse(false)
+						continue
+					}
+					// Killed: it no longer holds anything, and sends nothing more.
+					w.kill(n, nodes[n])
+					time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+					start(n)
+				}
+				time.Sleep(10 * time.Second)
+				if lead, _ := w.leader(); lead == "" {
+					t.Error("nobody leads")
+				}
+				for n, m := range nodes {
+					w.kill(n, m)
+				}
+				for _, l := range ways {
+					l.copies.Wait()
+				}
+				if len(w.clashes) > 0 {
+					t.Errorf("%v", w.clashes)
+				}
+				terms += len(w.stamps)
+			})
+		})
+	}
+	if terms < 100 {
+		t.Errorf("only %d terms: too little was tried", terms)
+	}
+}
--- /dev/null
+++ b/scheduler/trouble_test.go
@@ -0,0 +1,291 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// said is a report as a worker would make it, for messages out of order.
+func said(host ids.Host, tenure ids.Tenure, tick ids.Tick, token ids.Token, tasks ...wire.Task) *wire.Report {
+	return &wire.Report{Host: host, Endpoint: string(host), Type: "m", Zone: "a", Tenure: tenure, Tick: tick, Token: token, Tasks: tasks}
+}
+
+// A machine whose reports arrive, but which hears nothing, takes work for ever
+// and does none. It gets no more, is returned, and its work moves only then.
+func TestMachineThatHearsNothingIsReturned(t *testing.T) {
+	b := newBench(t, Options{})
+	b.c.Begin(b.now)
+	b.report("n-1", "a", 0)
+	b.job("job-1", wire.Spec{Tasks: 1})
+	b.step()
+	b.step()
+	returned := false
+	for s := range 40 {
+		b.now = b.now.Add(time.Second)
+		e := b.step()
+		for _, h := range e.Direct {
+			if _, _, ok := b.c.TakeDirect(b.now, h); ok {
+				b.c.DirectResult(b.now, h, nil)
+			}
+		}
+		if s%3 == 0 {
+			b.report("n-1", "a", 0)
+		}
+		if s == 16 {
+			b.job("job-2", wire.Spec{Tasks: 1})
+		}
+		if j := b.c.jobs["job-2"]; j != nil && j.tasks[0].a != nil {
+			t.Fatalf("after %d s: new work went to it", s)
+		}
+		if a := b.c.jobs["job-1"].tasks[0].a; a == nil {
+			t.Fatalf("after %d s: its task counts as gone before it was returned", s)
+		}
+		if slices.Contains(e.Return, "n-1") {
+			returned = true
+			break
+		}
+	}
+	if !returned {
+		t.Fatal("never returned")
+	}
+	b.report("n-2", "a", 0)
+	b.c.ReturnResult(b.now, []ids.Host{"n-1"}, true)
+	b.step()
+	if a := b.c.jobs["job-1"].tasks[0].a; a == nil || a.m.host != "n-2" {
+		t.Fatal("its task did not move")
+	}
+}
+
+// A lease that runs out although every report was answered shows the same. A
+// machine that then shows the new token has only missed something.
+func TestLeaseLostWhileAnswered(t *testing.T) {
+	for _, hears := range []bool{false, true} {
+		b := newBench(t, Options{})
+		b.c.Begin(b.now)
+		o := b.report("n-1", "a", 0)
+		b.report("n-1", "a", o.Token)
+		b.now = b.now.Add(simReport)
+		b.tick++
+		b.c.Report(b.now, said("n-1", 2, b.tick, o.Token), false)
+		b.job("job-1", wire.Spec{Tasks: 1})
+		b.step()
+		if b.c.jobs["job-1"].tasks[0].a != nil {
+			t.Fatal("work went to a machine that may hear nothing")
+		}
+		var returned bool
+		for range 20 {
+			if b.c.jobs["job-1"].tasks[0].a != nil {
+				break
+			}
+			b.now = b.now.Add(time.Second)
+			b.tick++
+			token := o.Token
+			if hears {
+				token = ids.NewToken(5, 1)
+			}
+			b.c.Report(b.now, said("n-1", 2, b.tick, token), false)
+			returned = returned || slices.Contains(b.step().Return, "n-1")
+		}
+		if placed := b.c.jobs["job-1"].tasks[0].a != nil; returned == hears || placed != hears {
+			t.Errorf("hears %v: returned %v, work placed %v", hears, returned, placed)
+		}
+	}
+}
+
+// A withdrawn job's task on a machine that talks but does not do as it is told
+// must be gone in time as well.
+func TestWithdrawnTaskOnAMachineThatHearsNothing(t *testing.T) {
+	b := newBench(t, Options{})
+	b.c.Begin(b.now)
+	o := b.report("n-1", "a", 0)
+	b.job("job-1", wire.Spec{Tasks: 1})
+	b.step()
+	o = b.report("n-1", "a", o.Token)
+	running := wire.Task{Name: "job-1/0", Attempt: 1, State: wire.TaskRunning}
+	b.report("n-1", "a", o.Token, running)
+	b.c.JobSeen(b.now, "job-1", &ledger.Job{Status: wire.StatusWithdrawn, Tasks: 1, Spec: b.c.jobs["job-1"].spec}, 500)
+	for s := range 52 {
+		b.now = b.now.Add(time.Second)
+		b.report("n-1", "a", o.Token, running)
+		if slices.Contains(b.step().Return, "n-1") {
+			if s < 10 {
+				t.Fatalf("returned after %d s, before it could end the task", s)
+			}
+			return
+		}
+	}
+	t.Fatal("the task was left on its machine beyond the time for cancellations")
+}
+
+// A copy of a report that comes late is no sign of life: its machine may be
+// long dead, and its tasks must be able to move.
+func TestCopiesAreNoSignOfLife(t *testing.T) {
+	b := newBench(t, Options{})
+	b.c.Begin(b.now)
+	o := b.report("n-1", "a", 0)
+	b.job("job-1", wire.Spec{Tasks: 1, Service: true})
+	b.step()
+	o = b.report("n-1", "a", o.Token)
+	run := wire.Task{Name: "job-1/0", Attempt: 1, State: wire.TaskRunning}
+	b.report("n-1", "a", o.Token, run)
+	last := b.tick
+	for s := range 60 {
+		b.now = b.now.Add(time.Second)
+		for tick := last - 1; tick <= last; tick++ { // older ones, and the newest once more
+			b.c.Report(b.now, said("n-1", 1, tick, o.Token, run), false)
+		}
+		b.step()
+		if m := b.c.machines["n-1"]; m == nil || len(m.tasks) == 0 {
+			if time.Duration(s)*time.Second < simLease {
+				t.Fatalf("its task was released after %d s, within the lease", s)
+			}
+			return
+		}
+		if s > 3 && b.c.usable(b.c.machines["n-1"]) && time.Duration(s)*time.Second > 2*simReport {
+			t.Fatalf("after %d s of copies alone it counts as usable", s)
+		}
+	}
+	t.Fatal("copies kept a dead machine's lease alive")
+}
+
+// A copy must not bring back a machine that was returned: not at the leader
+// that returned it, and not at a successor, which never knew of it.
+func TestCopiesDoNotReviveReturnedMachines(t *testing.T) {
+	b := newBench(t, Options{})
+	b.c.Begin(b.now)
+	b.report("n-1", "a", 0)
+	b.c.giveBack(b.c.machines["n-1"])
+	b.step()
+	b.c.ReturnResult(b.now, []ids.Host{"n-1"}, true)
+	b.report("n-1", "a", 0)
+	if b.c.machines["n-1"] != nil {
+		t.Fatal("it came back at the leader that returned it")
+	}
+
+	b = newBench(t, Options{Predecessor: true, Grace: time.Minute})
+	b.c.Begin(b.now)
+	b.report("n-1", "a", ids.NewToken(4, 7))
+	b.job("job-1", wire.Spec{Tasks: 1})
+	b.step()
+	if b.c.jobs["job-1"].tasks[0].a != nil {
+		t.Fatal("a successor placed work on a machine that it only has an old report of")
+	}
+	b.report("n-1", "a", ids.NewToken(5, 0))
+	b.c.changed = true
+	b.step()
+	if b.c.jobs["job-1"].tasks[0].a == nil {
+		t.Fatal("a machine that shows our token is not used")
+	}
+}
+
+// A leader that lost the state service and its peers, but not its workers,
+// goes on answering them. Its successor tells the workers of itself, and their
+// next report ends the old leader's term.
+func TestSuccessorTakesWorkersFromALeaderThatKeepsThem(t *testing.T) {
+	old := newBench(t, Options{Stamp: 5})
+	old.c.Begin(old.now)
+	o := old.report("n-1", "a", 0)
+	old.job("job-1", wire.Spec{Tasks: 1})
+	old.step()
+	o = old.report("n-1", "a", o.Token)
+	run := wire.Task{Name: "job-1/0", Attempt: 1, State: wire.TaskRunning}
+	old.report("n-1", "a", o.Token, run)
+
+	next := newBench(t, Options{Stamp: 9, Predecessor: true, Grace: time.Minute})
+	next.inherit(wire.Spec{Tasks: 1}, ledger.Slice{Hosts: []ids.Host{"n-1"}, Zones: []ids.Zone{"a"}, Tasks: []int{0, 1, 0}})
+	next.c.Begin(next.now)
+	// It knows the address from the list, and has no report: all of them go
+	// to the old leader. The same holds of a machine without tasks.
+	list := []wire.Machine{{Host: "n-1", Endpoint: "n-1", Type: "m", Zone: "a", Status: "running", AgeS: 60},
+		{Host: "n-2", Endpoint: "n-2", Type: "m", Zone: "a", Status: "running", AgeS: 60}}
+	next.c.MachineList(next.now, next.now, list)
+	token := map[ids.Host]ids.Token{"n-1": o.Token, "n-2": o.Token}
+	tick := ids.Tick(50)
+	for range 10 {
+		next.now = next.now.Add(time.Second)
+		e := next.step()
+		for _, h := range e.Show {
+			tick++
+			next.c.ShowResult(next.now, h, said(h, 1, tick, token[h]))
+		}
+		for _, h := range e.Direct {
+			if d, _, ok := next.c.TakeDirect(next.now, h); ok {
+				token[h] = max(token[h], d.Token)
+				tick++
+				next.c.DirectResult(next.now, h, said(h, 1, tick, token[h]))
+			}
+		}
+	}
+	if m := next.c.machines["n-2"]; m == nil || !m.reported {
+		t.Error("a machine without tasks was not asked")
+	}
+	if token["n-1"].Stamp() != 9 || !next.c.machines["n-1"].fenced {
+		t.Fatalf("n-1 was not told of the successor: token %d", token["n-1"])
+	}
+	if _, ok := old.c.Report(old.now, said("n-1", 1, tick+1, token["n-1"], run), false); ok || !old.c.Deposed() {
+		t.Fatal("the old leader goes on")
+	}
+}
+
+// Later jobs that fit pass one that does not, but not for ever: without room
+// kept for it a large task would find every gap taken by small ones.
+func TestLargeJobsBegin(t *testing.T) {
+	begins := func(keep time.Duration) time.Duration {
+		b := newBench(t, Options{KeepAfter: keep, KeepFor: time.Minute})
+		b.c.Begin(b.now)
+		start := b.now
+		on := map[ids.Host][]wire.Task{}
+		until := map[string]ids.Instant{}
+		hosts := []ids.Host{"n-1", "n-2", "n-3", "n-4", "n-5", "n-6"}
+		token := ids.NewToken(5, 0)
+		for s := range 300 {
+			b.now = b.now.Add(time.Second)
+			b.job(ids.JobID(fmt.Sprintf("job-s%d", s)), wire.Spec{Tasks: 4, CPUs: 2})
+			if s == 20 {
+				b.job("job-large", wire.Spec{Tasks: 3, CPUs: 8})
+			}
+			b.step()
+			for _, h := range hosts {
+				var tasks []wire.Task
+				for _, tk := range on[h] {
+					if b.now > until[tk.Name] {
+						tk.State, tk.Cause = wire.TaskEnded, wire.CauseDone
+					}
+					tasks = append(tasks, tk)
+				}
+				o := b.report(h, "a", token, tasks...)
+				token = max(token, o.Token)
+				var left []wire.Task
+				for _, tk := range tasks {
+					if !slices.Contains(verbs(o.Orders, wire.VerbReap), fmt.Sprintf("%s#%d", tk.Name, tk.Attempt)) {
+						left = append(left, tk)
+					}
+				}
+				for _, order := range o.Orders {
+					if order.Verb == wire.VerbRun {
+						left = append(left, wire.Task{Name: order.Name, Attempt: order.Attempt, State: wire.TaskRunning})
+						// The gaps open one at a time.
+						until[order.Name] = b.now.Add(time.Duration(5+(s*7+len(left)*3)%11) * time.Second)
+					}
+				}
+				on[h] = left
+			}
+			if j := b.c.jobs["job-large"]; j != nil && j.begun {
+				return b.now.Sub(start) - 20*time.Second
+			}
+		}
+		return 0
+	}
+	if at := begins(0); at != 0 {
+		t.Fatalf("it began after %v with no room kept: the day tests nothing", at)
+	}
+	if at := begins(time.Minute); at == 0 || at > 4*time.Minute {
+		t.Fatalf("it began after %v", at)
+	}
+}
