--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -27,6 +27,47 @@
 	now  int
 	ring [4]int // by half minute
 	at   int
+	// Jobs and tasks that came, by half minute.
+	jobs, tasks [4]int
+}
+
+// coming is how many tasks to expect within a time: those that came in the
+// window, and three times their spread. Tasks come in jobs, which makes the
+// spread as much wider.
+func (p *peak) coming(within time.Duration) float64 {
+	jobs, tasks := 0, 0
+	for i := range p.jobs {
+		jobs += p.jobs[i]
+		tasks += p.tasks[i]
+	}
+	if jobs == 0 {
+		return 0
+	}
+	part := within.Seconds() / peakWindow.Seconds()
+	size := float64(tasks) / float64(jobs)
+	return size * (float64(jobs)*part + 3*math.Sqrt(float64(jobs)*part))
+}
+
+// arrived notes a job that came.
+func (c *Core) arrived(s *wire.Spec) {
+	if p := c.peaks[s.Class]; p != nil {
+		p.turn(c.now)
+		p.jobs[p.at%4]++
+		p.tasks[p.at%4] += s.Tasks
+	}
+}
+
+// turn moves on to the half minute of now.
+func (p *peak) turn(now ids.Instant) {
+	slot := int(time.Duration(now) / (peakWindow / 4))
+	for ; p.at < slot; p.at++ {
+		if slot-p.at > 4 {
+			p.at = slot - 5
+			continue
+		}
+		next := (p.at + 1) % 4
+		p.ring[next], p.jobs[next], p.tasks[next] = 0, 0, 0
+	}
 }
 
 func (p *peak) value() int {
@@ -119,6 +160,7 @@
 	// Machines for borrowers may be rented up to the teams' limits.
 	c.book.SetSurplus(quota.Amount{CPUs: math.MaxInt32, GPUs: math.MaxInt32})
 	defer c.countSurplus()
+	var later []fleet.Demand
 	waiting := c.waiting()
 	for _, nominal := range []bool{true, false} {
 		for _, j := range waiting {
@@ -128,17 +170,72 @@
 			// The most that fit; that more fit whenever fewer do makes the
 			// search by halves right.
 			n := sort.Search(len(j.pending)-counted[j], func(n int) bool { return !c.fitsQuota(j, nominal, n+1) })
-			if n > 0 {
-				c.book.Take(j.spec.Team, j.amount().Times(n))
-				all = append(all, taken{j.spec.Team, j.amount().Times(n)})
-				counted[j] += n
-				p.Add(fleet.Demand{Spec: j.spec, Count: n, Zones: j.zones})
+			if n == 0 {
+				continue
+			}
+			c.book.Take(j.spec.Team, j.amount().Times(n))
+			all = append(all, taken{j.spec.Team, j.amount().Times(n)})
+			counted[j] += n
+			d := fleet.Demand{Spec: j.spec, Count: n, Zones: j.zones}
+			if j.whole() || c.hasty(j) {
+				p.Add(d)
+			} else {
+				later = append(later, d)
 			}
 		}
 	}
 	for _, t := range all {
 		c.book.Free(t.t, t.m)
 	}
+	if len(later) == 0 {
+		return
+	}
+	// What need not start sooner than a machine boots can as well have the
+	// room of tasks that end before one would be up.
+	for _, m := range c.order {
+		if c.takesTasks(m) && m.services < len(m.list) {
+			p.Coming(m.Site, c.roomSoon(m))
+		}
+	}
+	for _, d := range later {
+		p.Add(d)
+	}
+}
+
+// roomSoon is the room that a machine will have when one like it could have
+// been rented and booted, going by the estimates and by how long tasks of
+// their classes have run so far.
+func (c *Core) roomSoon(m *machine) placement.Resources {
+	free := m.free()
+	by := c.now.Add(ids.Seconds(0.8 * m.typ.BootS))
+	for _, a := range m.list {
+		if !a.job.spec.Service && (a.stop != stopNone || a.phase == wire.TaskRunning && a.since.Add(c.expected(a.job.spec)) < by) {
+			free = free.Plus(placement.Of(a.job.spec))
+		}
+	}
+	return free
+}
+
+// expected is how long a task should run. Estimates of a class are mostly too
+// high or mostly too low on some days.
+func (c *Core) expected(s *wire.Spec) time.Duration {
+	factor := 1.0
+	if r := c.paces[s.Class]; r > 0 {
+		factor = r
+	}
+	return ids.Seconds(factor * s.EstimateS)
+}
+
+// noteEstimate takes in how long a task of a class ran against its estimate.
+func (c *Core) noteEstimate(s *wire.Spec, ran time.Duration) {
+	if s.EstimateS <= 0 {
+		return
+	}
+	r := min(10, ran.Seconds()/s.EstimateS)
+	if old := c.paces[s.Class]; old > 0 {
+		r = 0.98*old + 0.02*r
+	}
+	c.paces[s.Class] = r
 }
 
 // replacements rents ahead for services on machines that have been silent for
@@ -179,17 +276,34 @@
 			c.peaks[j.spec.Class] = &peak{spec: j.spec}
 		}
 	}
-	slot := int(time.Duration(c.now) / (peakWindow / 4))
 	for class, p := range c.peaks {
-		if p.at != slot {
-			p.at = slot
-			p.ring[slot%4] = 0
-		}
+		p.turn(c.now)
 		p.now = count[class]
-		p.ring[slot%4] = max(p.ring[slot%4], p.now)
+		p.ring[p.at%4] = max(p.ring[p.at%4], p.now)
+	}
+}
+
+// spare is the room that a class which cannot wait for a boot should have: a
+// part of its peak, but no more than what may come while a machine boots. With
+// hundreds of services the former is far more than ever comes.
+func (c *Core) spare(p *peak) int {
+	want := c.opt.Headroom * float64(p.value())
+	boot := time.Duration(0)
+	for i := range c.typeList {
+		if t := &c.typeList[i]; placement.Fits(p.spec, t) && (boot == 0 || ids.Seconds(t.BootS) < boot) {
+			boot = ids.Seconds(t.BootS)
+		}
 	}
+	if c.now > c.started.Add(peakWindow/2) { // what came before is not known
+		want = min(want, p.coming(spareBoots*boot))
+	}
+	return int(math.Ceil(want)) + 2
 }
 
+// spareBoots is how many boots long what may come is counted for spare room:
+// the room must have the image too, and stand in the right zone.
+const spareBoots = 8
+
 // headroom keeps room for classes that cannot wait for a machine to boot.
 func (c *Core) headroom(p *fleet.Planner) {
 	for _, class := range slices.Sorted(maps.Keys(c.opt.Impatient)) {
@@ -197,40 +311,60 @@
 		if pk == nil {
 			continue
 		}
-		want := int(math.Ceil(c.opt.Headroom*float64(pk.value()))) + 2
-		need := placement.Of(pk.spec)
-		for _, m := range c.order {
-			if want <= 0 {
-				break
-			}
-			if !c.usable(m) || !placement.Allowed(pk.spec, m.Site) {
-				continue
-			}
-			for free := m.free(); want > 0 && need.Within(free); want-- {
-				free = free.Minus(need)
-			}
-		}
-		if want > 0 {
+		if want := c.spare(pk) - c.slots(pk.spec, c.spare(pk)); want > 0 {
 			p.Add(fleet.Demand{Spec: pk.spec, Count: want})
 		}
 	}
 }
 
-// returnIdle gives back machines that nothing has used for a while.
+// slots counts how many more tasks the machines have room for, up to most.
+func (c *Core) slots(s *wire.Spec, most int) int {
+	n := 0
+	for _, m := range c.order {
+		if n >= most {
+			break
+		}
+		if c.usable(m) && placement.Allowed(s, m.Site) {
+			n += fleet.Holds(s, m.free())
+		}
+	}
+	return n
+}
+
+// returnIdle gives back machines that nothing has used for a while. Where a
+// class cannot wait for a boot, those that its spare room is made of stay
+// longer.
 func (c *Core) returnIdle() {
-	idle := c.opt.Idle
-	if len(c.opt.Impatient) > 0 {
-		idle = c.opt.HeadroomIdle
+	over := map[*peak]int{}
+	for class := range c.opt.Impatient {
+		if pk := c.peaks[class]; pk != nil {
+			over[pk] = c.slots(pk.spec, math.MaxInt) - c.spare(pk)
+		}
 	}
 	for _, m := range c.order {
 		if m.returning || !m.reported || len(m.tasks) > 0 || m.strays.CPUs > 0 {
 			continue
 		}
-		wait := idle
+		wait := c.opt.Idle
+		if m.Spot && len(over) > 0 {
+			wait *= 2 // they cost little, and hold images
+		}
+		for pk, n := range over {
+			if placement.Allowed(pk.spec, m.Site) && fleet.Holds(pk.spec, m.free()) > n {
+				wait = c.opt.HeadroomIdle
+			}
+		}
 		if m.Spot {
 			wait = time.Duration(float64(wait) * c.opt.SpotIdle)
 		}
 		if c.now > m.idleSince.Add(wait) || c.now < m.quarantine && c.now > m.idleSince.Add(5*time.Second) {
+			if c.usable(m) {
+				for pk := range over {
+					if placement.Allowed(pk.spec, m.Site) {
+						over[pk] -= fleet.Holds(pk.spec, m.free())
+					}
+				}
+			}
 			c.giveBack(m)
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -225,6 +225,7 @@
 	renting     map[placement.Site]int // machines asked for
 	bookings    map[placement.Site]int // rentals under way
 	peaks       map[string]*peak
+	paces       map[string]float64 // by class, how long tasks ran against their estimates
 	out         Effects
 
 	spotTime   time.Duration
@@ -276,6 +277,7 @@
 		renting:    map[placement.Site]int{},
 		bookings:   map[placement.Site]int{},
 		peaks:      map[string]*peak{},
+		paces:      map[string]float64{},
 		hot:        map[*machine]bool{},
 		writes:     opt.WriteRate,
 	}
@@ -482,6 +484,9 @@
 		return
 	}
 	c.notePace(a)
+	if a.phase == wire.TaskRunning {
+		c.noteEstimate(a.job.spec, c.now.Sub(a.since))
+	}
 	j.tasks[a.index].state = taskDone
 	j.done++
 	j.succeeded++
@@ -512,6 +517,7 @@
 		j = c.newJob(id, rec, stamp)
 		c.jobs[id] = j
 		c.refill(j)
+		c.arrived(j.spec)
 		c.changed = true
 		return
 	}
--- a/scheduler/fleet/fleet.go
+++ b/scheduler/fleet/fleet.go
@@ -166,13 +166,18 @@
 }
 
 func perMachine(s *wire.Spec, t *wire.MachineType) int {
+	return max(1, Holds(s, placement.OfType(t)))
+}
+
+// Holds tells how many tasks of a job some room holds.
+func Holds(s *wire.Spec, room placement.Resources) int {
 	n := 1 << 20
-	for _, r := range [][2]float64{{s.CPUs, t.CPUs}, {s.GPUs, t.GPUs}, {s.MemoryGB, t.MemoryGB}} {
+	for _, r := range [][2]float64{{s.CPUs, room.CPUs}, {s.GPUs, room.GPUs}, {s.MemoryGB, room.MemoryGB}} {
 		if r[0] > 0 {
 			n = min(n, int(r[1]/r[0]+1e-9))
 		}
 	}
-	return max(1, n)
+	return max(0, n)
 }
 
 // Buys lists the purchases in a fixed order.
