--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -36,11 +36,16 @@
 }
 
 // shape is what decides whether a task finds any machine at all. Once one
-// task of a shape found none, the rest of the pass need not look again.
+// task of a shape found none, the rest of the pass need not look again: room
+// only shrinks during a pass.
 type shape struct {
-	res  placement.Resources
-	spot bool
-	zone ids.Zone
+	res   placement.Resources
+	prio  wire.Priority
+	spot  bool
+	zone  ids.Zone
+	image ids.Image // where only machines that hold it will do
+	zones uint64    // the zones that the job's other tasks leave open
+	whole int       // how many must find room together
 }
 
 // hasty tells whether a job's class must start sooner than a machine boots.
@@ -49,13 +54,26 @@
 	return ok
 }
 
-func (c *Core) shapeOf(j *job) (shape, bool) {
+// shapeOf is the shape of a job's next task, given where its others are; ok is
+// false for a job that is like no other.
+func (c *Core) shapeOf(j *job, at placement.Zones) (sh shape, ok bool) {
 	s := j.spec
-	// What one job may not use, another of its size may.
-	if s.Spread || s.OneZone || len(s.Types) > 0 || len(j.failedOn) > 0 || c.hasty(j) && !j.coldOK {
+	if len(s.Types) > 0 || len(c.zones) > 64 {
 		return shape{}, false
 	}
-	return shape{res: placement.Of(s), spot: s.Spot, zone: s.Zone}, true
+	sh = shape{res: placement.Of(s), prio: s.Priority, spot: s.Spot, zone: s.Zone}
+	if c.hasty(j) && !j.coldOK {
+		sh.image = s.Image
+	}
+	if j.whole() {
+		sh.whole = len(j.pending)
+	}
+	for i, z := range c.zones {
+		if at.Admits(s, z) {
+			sh.zones |= 1 << i
+		}
+	}
+	return sh, true
 }
 
 // schedule is one pass of admission: first the jobs that stay within their
@@ -75,10 +93,13 @@
 
 // lookAround lists the machines that take tasks now.
 func (c *Core) lookAround() {
-	c.ready = c.ready[:0]
+	c.ready, c.zones = c.ready[:0], c.zones[:0]
 	for _, m := range c.order {
 		if c.takesTasks(m) {
 			c.ready = append(c.ready, m)
+			if !slices.Contains(c.zones, m.Zone) {
+				c.zones = append(c.zones, m.Zone)
+			}
 		}
 	}
 	c.Work += uint64(len(c.order))
@@ -103,12 +124,18 @@
 					continue
 				}
 			}
-			sh, ok := c.shapeOf(j)
-			if ok && full[sh] {
+			sh, alike := c.shapeOf(j, j.zones)
+			if alike && full[sh] {
+				if nominal && c.mustBorrow(j) {
+					borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
+				}
 				continue
 			}
-			if noRoom := c.admit(j, nominal); noRoom && ok && !j.whole() {
-				full[sh] = true
+			if noRoom := c.admit(j, nominal); noRoom {
+				// The shape of what is left: some of it may have been placed.
+				if sh, alike := c.shapeOf(j, j.zones); alike {
+					full[sh] = true
+				}
 			}
 			if nominal && c.mustBorrow(j) {
 				borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
@@ -569,8 +596,7 @@
 type hopeless struct {
 	shape
 	work
-	by    claim
-	image ids.Image // of hasty jobs only
+	by claim
 }
 
 // option is a machine where room could be made, and at what cost.
@@ -671,15 +697,15 @@
 	if by == claimNone || by == claimOwn && !r.stoppable(j, by) {
 		return nil, false
 	}
-	key, keyed := hopeless{work: work{j.spec.Team, j.spec.Priority}, by: by}, false
-	if s := j.spec; len(s.Types) == 0 && len(j.failedOn) == 0 && len(j.active) == 0 && len(r.zones) == 0 {
-		key.shape, keyed = shape{res: placement.Of(s), spot: s.Spot, zone: s.Zone}, true
-		if r.c.hasty(j) {
-			key.image = s.Image
-		}
-	} else if !s.Spread && !s.OneZone && len(s.Types) == 0 && len(j.failedOn) == 0 && !r.c.hasty(j) {
-		key.shape, keyed = shape{res: placement.Of(s), spot: s.Spot, zone: s.Zone}, true
+	// What a gang or a service needs together matters for admission, not for
+	// the one task that room is made for here.
+	sh, alike := r.c.shapeOf(j, r.zones)
+	sh.whole = 0
+	if r.c.hasty(j) {
+		sh.image = j.spec.Image
 	}
+	key := hopeless{sh, work{j.spec.Team, j.spec.Priority}, by}
+	keyed := alike && len(j.failedOn) == 0
 	if keyed && r.failed[key] {
 		return nil, false
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -209,6 +209,7 @@
 	Work uint64
 	// ready holds the machines that take tasks in the present pass, by host.
 	ready      []*machine
+	zones      []ids.Zone // of the ready machines
 	passes     uint64
 	lastWatch  ids.Instant
 	watchSoon  bool
