--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -49,7 +49,8 @@
 	counter    uint64
 
 	// ours: this leader rented it, so it cannot have been returned before.
-	ours bool
+	// proven: it answered a call of this leader.
+	ours, proven bool
 	// deaf: it reports, but what it is told does not reach it.
 	deaf      bool
 	deafSince ids.Instant
@@ -233,6 +234,7 @@
 	c.apply(m, rep)
 	c.heat(m)
 	if direct {
+		m.proven = true
 		return wire.Orders{}, true
 	}
 	m.answeredAt = now
@@ -769,8 +771,10 @@
 
 // trusted tells whether a machine's messages are surely no late copies: what
 // this leader did not rent may have been returned by a predecessor, and then
-// only a token of ours shows that it is there.
-func (c *Core) trusted(m *machine) bool { return m.ours || m.fenced || !c.opt.Predecessor }
+// only an answer, or a token of ours, shows that it is there.
+func (c *Core) trusted(m *machine) bool {
+	return m.ours || m.proven || m.fenced || !c.opt.Predecessor
+}
 
 // usable tells whether new tasks may go to a machine.
 func (c *Core) usable(m *machine) bool {
