A zone that is cut off keeps its machines and gets no new ones

When a zone was cut off for 90 s its machines were returned one lease later and rented again in the same zone, where they could not report either, and counted as coming; up to 277 booted in vain. Services start late because no machine with room has their image: all 89 late starts of steady were placed within 120 ms and then fetched.

--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -92,9 +92,8 @@
 	if c.opt.Predecessor && c.now < c.started.Add(2*c.opt.ListLag) {
 		return
 	}
-	cut := c.cutZones()
 	p := &fleet.Planner{Types: c.typeList, Held: map[placement.Site]int{}, Budget: math.MaxInt32,
-		Blocked: func(s placement.Site) bool { return cut[s.Zone] || c.backoff.Blocked(s, c.now) }}
+		Blocked: func(s placement.Site) bool { return c.cutOff(s.Zone) || c.backoff.Blocked(s, c.now) }}
 	if c.opt.MaxMachines > 0 {
 		p.Budget = c.opt.MaxMachines - len(c.order)
 		for _, n := range c.renting {
@@ -133,26 +132,6 @@
 	c.returnIdle()
 }
 
-// cutZones are those from which most machines fell silent at once. What is
-// rented there can't report either: it costs, takes the place of machines
-// elsewhere, and counts as coming.
-func (c *Core) cutZones() map[ids.Zone]bool {
-	up, silent := map[ids.Zone]int{}, map[ids.Zone]int{}
-	for _, m := range c.order {
-		if m.reported && !m.returning {
-			up[m.Zone]++
-			if c.silent(m, c.opt.Lease/2) {
-				silent[m.Zone]++
-			}
-		}
-	}
-	cut := map[ids.Zone]bool{}
-	for z, n := range silent {
-		cut[z] = n >= 3 && 2*n > up[z]
-	}
-	return cut
-}
-
 const (
 	// mostRented is the protocol's limit for one rental.
 	mostRented = 50
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -197,6 +197,7 @@
 	machines map[ids.Host]*machine
 	order    []*machine // machines by host
 	gone     map[ids.Host]bool
+	from     map[ids.Zone]*zoneState
 	book     *quota.Book
 	backoff  *fleet.Backoff
 
@@ -269,6 +270,7 @@
 		ended:      map[ids.JobID]string{},
 		machines:   map[ids.Host]*machine{},
 		gone:       map[ids.Host]bool{},
+		from:       map[ids.Zone]*zoneState{},
 		book:       quota.NewBook(opt.Teams),
 		backoff:    fleet.NewBackoff(opt.CapacityBack),
 		changes:    map[uint64]*pendingChange{},
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -722,3 +722,53 @@
 	}
 	t.Fatal("the machine was never given back")
 }
+
+// A zone was cut off: its machines were returned after their leases and rented
+// again in the same zone, where they could not report either, and counted as
+// coming.
+func TestZoneThatIsCutOff(t *testing.T) {
+	b := newBench(t, Options{})
+	b.c.Begin(b.now)
+	on := map[ids.Host][]wire.Task{}
+	up := func(zone ids.Zone) {
+		for n := range 5 {
+			h := ids.Host(fmt.Sprintf("n-%s%d", zone, n))
+			for _, o := range b.report(h, zone, ids.NewToken(5, 0), on[h]...).Orders {
+				on[h] = append(on[h], wire.Task{Name: o.Name, Attempt: o.Attempt, State: wire.TaskRunning})
+			}
+		}
+	}
+	up("a")
+	up("b")
+	wants := func(at int) {
+		b.job(ids.JobID(fmt.Sprintf("job-%d", at)), wire.Spec{Tasks: 30, CPUs: 2, EstimateS: 1000})
+	}
+	rented := map[ids.Zone]int{}
+	for s := range 240 {
+		b.now = b.now.Add(time.Second)
+		if s%3 == 0 {
+			up("a")
+		}
+		if s == 20 || s == 200 {
+			wants(s)
+		}
+		e := b.step()
+		if s < 170 && len(e.Return) > 0 {
+			t.Fatalf("after %d s: returned %v", s, e.Return)
+		}
+		for _, r := range e.Rent {
+			if s < 170 {
+				rented[r.Zone] += r.Count
+			} else {
+				rented[r.Zone+" again"] += r.Count
+			}
+			b.c.RentResult(b.now, r, nil, false)
+		}
+	}
+	if rented["a"] == 0 || rented["b"] != 0 {
+		t.Errorf("while zone b was cut off: %v", rented)
+	}
+	if rented["b again"] == 0 {
+		t.Errorf("zone b was never tried again: %v", rented)
+	}
+}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -230,6 +230,11 @@
 	c.setSite(m, placement.Site{Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot}, rep.Endpoint)
 	c.hear(m, rep, direct)
 	m.lastHeard, m.newestAt = now, now
+	if z := c.from[rep.Zone]; z != nil {
+		z.heard = now
+	} else {
+		c.from[rep.Zone] = &zoneState{heard: now}
+	}
 	m.doFailed = false
 	c.apply(m, rep)
 	c.heat(m)
@@ -785,9 +790,49 @@
 // takesTasks tells whether a usable machine is not set aside either.
 func (c *Core) takesTasks(m *machine) bool { return c.usable(m) && c.now >= m.quarantine }
 
+// zoneState is what is known of a zone as a whole.
+type zoneState struct {
+	heard ids.Instant // when any machine there was last heard
+	up    int         // machines that reported while it was heard
+}
+
+const (
+	// zoneMachines is how many machines must be silent together to tell a zone
+	// that is cut off from machines that are.
+	zoneMachines = 4
+	// zoneBack is how long a zone counts as cut off without a word from it.
+	// So long its machines are kept: they come back without a boot, and with
+	// their images. After that it is tried again.
+	zoneBack = 3 * time.Minute
+)
+
+// countZones notes how many machines each zone has that is heard.
+func (c *Core) countZones() {
+	up := map[ids.Zone]int{}
+	for _, m := range c.order {
+		if m.reported && !m.returning {
+			up[m.Zone]++
+		}
+	}
+	for zone, z := range c.from {
+		if c.now < z.heard.Add(c.opt.Lease/2) {
+			z.up = up[zone]
+		}
+	}
+}
+
+// cutOff tells whether a whole zone fell silent at once. What is rented there
+// cannot report: it costs, takes the place of machines elsewhere, and counts
+// as coming.
+func (c *Core) cutOff(zone ids.Zone) bool {
+	z := c.from[zone]
+	return z != nil && z.up >= zoneMachines && c.now > z.heard.Add(c.opt.Lease/2) && c.now < z.heard.Add(zoneBack)
+}
+
 // watchMachines handles what time alone brings about.
 func (c *Core) watchMachines() {
 	c.drainNoticed()
+	c.countZones()
 	// When most machines fall silent at once, it is more likely this node's
 	// network than the machines: they are not given back for that.
 	heard, silent := 0, 0
@@ -810,6 +855,7 @@
 		if m.asking {
 			continue
 		}
+		keep := mass || c.cutOff(m.Zone)
 		if m.returning {
 			c.giveBack(m)
 			continue
@@ -833,10 +879,10 @@
 				}
 			}
 			c.heat(m)
-			if !mass {
+			if !keep {
 				c.giveBack(m)
 			}
-		case m.reported && len(m.tasks) == 0 && !mass && c.silent(m, c.opt.Lease*3/2):
+		case m.reported && len(m.tasks) == 0 && !keep && c.silent(m, c.opt.Lease*3/2):
 			c.giveBack(m)
 		case c.overdue(m):
 			c.giveBack(m)
