--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -886,7 +886,9 @@
 			lost = min(lost, s.SaveEvery) + s.SaveS
 		}
 	}
-	loss := (lost + 2) * s.CPUs
+	// What was restarted before holds up its job, which ends with its last
+	// task: it is stopped after others.
+	loss := (lost + 2) * s.CPUs * float64(a.attempt)
 	for range int(s.Priority) {
 		loss *= 3
 	}
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -365,7 +365,7 @@
 					}
 				}
 			}
-			c.giveBack(m)
+			c.giveBack(m, "idle")
 		}
 	}
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -230,6 +230,8 @@
 	paces       map[string]float64 // by class, how long tasks ran against their estimates
 	out         Effects
 
+	returns map[string]int // machines given back, by reason
+
 	spotTime   time.Duration
 	spotLosses int
 
@@ -280,6 +282,7 @@
 		renting:    map[placement.Site]int{},
 		bookings:   map[placement.Site]int{},
 		peaks:      map[string]*peak{},
+		returns:    map[string]int{},
 		paces:      map[string]float64{},
 		hot:        map[*machine]bool{},
 		writes:     opt.WriteRate,
@@ -893,6 +896,9 @@
 	for _, t := range c.opt.Teams {
 		fmt.Fprintf(&b, " %s=%.0f", t.Name, c.book.Used(t.Name).CPUs)
 	}
+	for _, why := range slices.Sorted(maps.Keys(c.returns)) {
+		fmt.Fprintf(&b, " returned-%s=%d", why, c.returns[why])
+	}
 	// By type and kind: machines, those without a task, and the part of their
 	// CPUs in use.
 	type held struct {
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -857,21 +857,21 @@
 		}
 		keep := mass || c.cutOff(m.Zone)
 		if m.returning {
-			c.giveBack(m)
+			c.giveBack(m, "")
 			continue
 		}
 		switch {
 		case m.listed == "failed":
-			c.giveBack(m)
+			c.giveBack(m, "failed")
 		case m.missing >= 2 && c.silent(m, 2*c.opt.Report):
 			// It was listed and is not any more: it was taken. Returning what
 			// is gone does nothing, and the answer proves that it is gone.
 			if m.Spot && m.noticeBy == 0 {
 				c.spotLosses++
 			}
-			c.giveBack(m)
+			c.giveBack(m, "missing")
 		case !m.reported && m.bootBy != 0 && c.now > max(m.bootBy, heardBy) && len(m.tasks) == 0:
-			c.giveBack(m)
+			c.giveBack(m, "boot")
 		case len(m.tasks) > 0 && c.leaseLost(m) && c.silent(m, c.opt.Lease):
 			for _, a := range m.sorted() {
 				if !a.saving {
@@ -880,16 +880,16 @@
 			}
 			c.heat(m)
 			if !keep {
-				c.giveBack(m)
+				c.giveBack(m, "silent")
 			}
 		case m.reported && len(m.tasks) == 0 && !keep && c.silent(m, c.opt.Lease*3/2):
-			c.giveBack(m)
+			c.giveBack(m, "silent")
 		case c.overdue(m):
-			c.giveBack(m)
+			c.giveBack(m, "withdrawn")
 		case m.deaf && c.now > m.deafSince.Add(c.hearWithin()):
 			// Nobody else can tell it anything either. Given back, its tasks
 			// are surely gone and may go elsewhere.
-			c.giveBack(m)
+			c.giveBack(m, "deaf")
 		}
 	}
 }
@@ -913,7 +913,7 @@
 	if a.job.spec.Service || a.phase != wire.TaskRunning {
 		return false
 	}
-	return a.since.Add(ids.Seconds(a.job.spec.EstimateS)) < by
+	return a.since.Add(c.expected(a.job.spec)) < by
 }
 
 func (c *Core) silent(m *machine, d time.Duration) bool {
@@ -932,7 +932,12 @@
 	return false
 }
 
-func (c *Core) giveBack(m *machine) {
+// giveBack returns a machine; why is for the log, and empty when it was begun
+// before.
+func (c *Core) giveBack(m *machine, why string) {
+	if why != "" {
+		c.returns[why]++
+	}
 	for _, a := range m.tasks {
 		if a.saving {
 			m.returning = true // as soon as the record's outcome is known
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -756,7 +756,7 @@
 	var all []ids.JobID
 	most, work := 0, uint64(0)
 	for round := range 10 {
-		for range 12 {
+		for range 15 {
 			id := ids.JobID(fmt.Sprintf("job-%03d", len(all)))
 			all = append(all, id)
 			sp := s.randomSpec()
--- a/scheduler/trouble_test.go
+++ b/scheduler/trouble_test.go
@@ -160,7 +160,7 @@
 	b := newBench(t, Options{})
 	b.c.Begin(b.now)
 	b.report("n-1", "a", 0)
-	b.c.giveBack(b.c.machines["n-1"])
+	b.c.giveBack(b.c.machines["n-1"], "test")
 	b.step()
 	b.c.ReturnResult(b.now, []ids.Host{"n-1"}, true)
 	b.report("n-1", "a", 0)
