Rent for work that has waited for a boot; an unreadable admission sets its job aside

An admission record that cannot be read ended every term; now its job is set aside, as it is not known where it runs.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -25,6 +25,7 @@
 	p := &config.Platform{HostName: "n-0", APIAddr: "127.0.0.1:1", MeshAddr: "127.0.0.1:2"}
 	p.External.State, p.External.Cloud = state, "127.0.0.1:3"
 	p.Settings.Teams = []config.Team{{Name: "red", CPUs: 4, CPUsMax: 16}}
+	p.Settings.Resources.CPUShare = 1
 	p.Settings.State.RPS, p.Settings.State.TxnOps, p.Settings.Cloud.RPS = 200, 8, 4
 	return p
 }
@@ -123,7 +124,8 @@
 	return strings.TrimPrefix(srv.URL, "http://"), refuse
 }
 
-// badRecords is a stand-in that lists one record that makes no sense.
+// badRecords is a stand-in that lists records that make no sense: of job-1, and
+// of where tasks of job-3 are.
 func badRecords(t *testing.T) string {
 	t.Helper()
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -135,7 +137,9 @@
 			good := ledger.Job{Status: wire.StatusQueued, Tasks: 1, Spec: &wire.Spec{Team: "red", Tasks: 1, CPUs: 1}}
 			body = map[string]any{"epoch": 9, "entries": []any{
 				map[string]any{"key": "jobs/job-1", "v": "nonsense", "stamp": 7},
-				map[string]any{"key": "jobs/job-2", "v": good, "stamp": 8}}}
+				map[string]any{"key": "jobs/job-2", "v": good, "stamp": 8}, map[string]any{"key": "jobs/job-3", "v": good, "stamp": 8}}}
+		case r.URL.Query().Get("prefix") == "admissions/":
+			body = map[string]any{"epoch": 9, "entries": []any{map[string]any{"key": "admissions/job-3/00000", "v": "nonsense", "stamp": 7}}}
 		}
 		_, _ = w.Write(wire.Encode(body))
 	}))
--- a/node/polls_test.go
+++ b/node/polls_test.go
@@ -196,4 +196,19 @@
 	if _, ok := tm.core.Status("job-2"); !ok {
 		t.Error("the job beside it was lost")
 	}
+	// Of job-3 it is not known where it runs: it is not started elsewhere.
+	now := n.clock.Now()
+	rep := &wire.Report{Host: "n-1", Endpoint: "n-1", Type: "m", Zone: "a", Tenure: 1, Tick: 1, Token: ids.NewToken(5, 0)}
+	if _, ok := tm.core.Report(now, rep, true); !ok {
+		t.Fatal("report refused")
+	}
+	var written []string
+	for _, ch := range tm.core.Step(now).Changes {
+		for _, op := range ch.Apply {
+			written = append(written, op.Write)
+		}
+	}
+	if !slices.Equal(written, []string{"admissions/job-2/00000"}) {
+		t.Errorf("placed %v", written)
+	}
 }
--- a/node/term.go
+++ b/node/term.go
@@ -194,10 +194,15 @@
 			return fmt.Errorf("record %s: malformed key", e.Key)
 		}
 		var rec ledger.Slice
-		if err := wire.Decode(e.Value, &rec); err != nil {
-			return fmt.Errorf("record %s: %w", e.Key, err)
+		err := wire.Decode(e.Value, &rec)
+		if err == nil {
+			err = t.core.LoadSlice(id, num, &rec, e.Stamp)
+		}
+		if err != nil {
+			n.unreadable(e.Key, err)
+			t.core.SetAside(id)
 		}
-		return t.core.LoadSlice(id, num, &rec, e.Stamp)
+		return nil
 	})
 	if err != nil {
 		return 0, err
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -18,7 +18,7 @@
 func (c *Core) waiting() []*job {
 	var out []*job
 	for _, j := range c.jobs {
-		if !j.over() && len(j.pending) > 0 && c.now >= j.retryAt {
+		if !j.over() && !j.setAside && len(j.pending) > 0 && c.now >= j.retryAt {
 			out = append(out, j)
 		}
 	}
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -177,7 +177,7 @@
 			all = append(all, taken{j.spec.Team, j.amount().Times(n)})
 			counted[j] += n
 			d := fleet.Demand{Spec: j.spec, Count: n, Zones: j.zones}
-			if j.whole() || c.hasty(j) {
+			if j.whole() || c.hasty(j) || c.now > j.waits.Add(c.bootOf(j.spec)) {
 				p.Add(d)
 			} else {
 				later = append(later, d)
@@ -191,7 +191,8 @@
 		return
 	}
 	// What need not start sooner than a machine boots can as well have the
-	// room of tasks that end before one would be up.
+	// room of tasks that end before one would be up. What has waited for that
+	// long already has seen others take it.
 	for _, m := range c.order {
 		if c.takesTasks(m) && m.services < len(m.list) {
 			p.Coming(m.Site, c.roomSoon(m))
@@ -257,7 +258,7 @@
 		}
 	}
 	for _, m := range silent {
-		for _, a := range m.sorted() {
+		for _, a := range m.list {
 			if a.job.spec.Service && a.stop == stopNone {
 				p.Add(fleet.Demand{Spec: a.job.spec, Count: 1})
 			}
@@ -288,16 +289,22 @@
 // hundreds of services the former is far more than ever comes.
 func (c *Core) spare(p *peak) int {
 	want := c.opt.Headroom * float64(p.value())
+	boot := c.bootOf(p.spec)
+	if c.now > c.started.Add(peakWindow/2) { // what came before is not known
+		want = min(want, p.coming(spareBoots*boot))
+	}
+	return int(math.Ceil(want)) + 2
+}
+
+// bootOf is how long the quickest type that would do takes to boot.
+func (c *Core) bootOf(s *wire.Spec) time.Duration {
 	boot := time.Duration(0)
 	for i := range c.typeList {
-		if t := &c.typeList[i]; placement.Fits(p.spec, t) && (boot == 0 || ids.Seconds(t.BootS) < boot) {
+		if t := &c.typeList[i]; placement.Fits(s, t) && (boot == 0 || ids.Seconds(t.BootS) < boot) {
 			boot = ids.Seconds(t.BootS)
 		}
 	}
-	if c.now > c.started.Add(peakWindow/2) { // what came before is not known
-		want = min(want, p.coming(spareBoots*boot))
-	}
-	return int(math.Ceil(want)) + 2
+	return boot
 }
 
 // spareBoots is how many boots long what may come is counted for spare room:
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -158,6 +158,7 @@
 	// begun: one of its tasks was placed once. waits is since when it could
 	// not begin, keptSince since when room is kept for it.
 	begun     bool
+	setAside  bool // see SetAside
 	waits     ids.Instant
 	keptSince ids.Instant
 	// coldOK: no machine that holds the image can take the job's tasks, so
@@ -387,6 +388,14 @@
 	return nil
 }
 
+// SetAside keeps a job from being placed, because it is not known where all
+// its tasks may be. It stays known, and the others go on.
+func (c *Core) SetAside(id ids.JobID) {
+	if j := c.jobs[id]; j != nil {
+		j.setAside = true
+	}
+}
+
 // Begin ends the loading of records.
 func (c *Core) Begin(now ids.Instant) {
 	c.started, c.now = now, now
