--- /dev/null
+++ b/node/edge_test.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"ospreystile.example/ospreystile/config"
+	"ospreystile.example/ospreystile/election"
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/mesh"
+	"ospreystile.example/ospreystile/server"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// A follower passes reports on, and answers with what the leader says; it has
+// no answer of its own. When the leader must not answer, or is gone, the worker
+// is told at once to go elsewhere.
+func TestFollowerPassesReportsOn(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader := testNode(t, testConfig(freshState(t)))
+	leader.catalog.Store(&[]wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}})
+	var g errgroup.Group
+	g.Go(func() error { _ = mesh.Serve(ctx, ln, leader.handle, leader.log); return nil })
+
+	cfg := testConfig("127.0.0.1:4")
+	cfg.HostName = "n-1"
+	cfg.Seeds = []config.Peer{{Name: "n-0", Address: ln.Addr().String()}}
+	follower := testNode(t, cfg)
+	g.Go(func() error { _ = follower.edge.run(ctx); return nil })
+	defer func() { cancel(); _ = g.Wait() }()
+
+	rep := &wire.Report{Host: "m-1", Endpoint: "127.0.0.1:5", Type: "m", Zone: "a", Tenure: 1, Tick: 1}
+	hello := func() server.Answer { return follower.Hello(ctx, wire.Encode(rep), rep) }
+	if a := hello(); a.Code != 503 {
+		t.Fatalf("without a leader: %+v", a)
+	}
+	follower.election.Observe(election.Leader{Holder: election.Holder{Name: "n-0"}, Stamp: 7})
+	if a := hello(); a.Code != 503 {
+		t.Fatalf("before the leader leads: %+v", a)
+	}
+	g.Go(func() error { _ = leader.election.Run(ctx); return nil })
+	for leader.term.Load() == nil {
+		if !ids.Pause(ctx, 5*time.Millisecond) {
+			t.Fatal("nobody leads")
+		}
+	}
+	a := hello()
+	if o, ok := a.Body.(wire.Orders); a.Code != 200 || !ok || o.Token.Stamp() != 7 {
+		t.Fatalf("through the follower: %+v", a)
+	}
+	if n := follower.crowd.count(follower.clock.Now(), time.Minute); n != 1 {
+		t.Errorf("%d workers counted", n)
+	}
+	// A later leader is known: this one has nothing to say any more.
+	leader.election.Observe(election.Leader{Holder: election.Holder{Name: "n-2"}, Stamp: 9})
+	for leader.term.Load() != nil {
+		if !ids.Pause(ctx, 5*time.Millisecond) {
+			t.Fatal("the term goes on")
+		}
+	}
+	if a := hello(); a.Code != 503 {
+		t.Errorf("from a leader that was replaced: %+v", a)
+	}
+}
+
+// freshState is a stand-in for a state service in which nobody has led yet.
+func freshState(t *testing.T) string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := map[string]any{"epoch": 7, "hold": 1, "entries": []any{}}
+		if r.URL.Path == "/changes" {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if strings.HasPrefix(r.URL.Path, "/store/") {
+			w.WriteHeader(404)
+		}
+		_, _ = w.Write(wire.Encode(body))
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
