--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -354,7 +354,8 @@
 		}
 		wait := c.opt.Idle
 		if m.Spot && len(over) > 0 {
-			wait *= 2 // they cost little, and hold images
+			// They cost little, and hold images for work in a hurry.
+			wait = c.opt.HeadroomIdle
 		}
 		for pk, n := range over {
 			if placement.Allowed(pk.spec, m.Site) && fleet.Holds(pk.spec, m.free()) > n {
