--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -772,3 +772,48 @@
 		t.Errorf("zone b was never tried again: %v", rented)
 	}
 }
+
+// With a zone cut off, hundreds of services waited for it, and each pass ended
+// with them: arrays behind them waited beside idle machines.
+func TestCrowdWithoutRoomDoesNotEndThePass(t *testing.T) {
+	b := newBench(t, Options{Teams: []quota.Team{{Name: "red", Nominal: quota.Amount{CPUs: 6400}, Limit: quota.Amount{CPUs: 6400}}}})
+	b.c.Begin(b.now)
+	b.report("n-1", "a", 0)
+	for n := range 300 { // more than pass_over; there is no machine in zone b
+		b.job(ids.JobID(fmt.Sprintf("job-s%d", n)), wire.Spec{Tasks: 1 + n%3, Service: true, Zone: "b", Priority: wire.Critical})
+	}
+	b.job("job-array", wire.Spec{Tasks: 2, Priority: wire.Normal})
+	b.step()
+	if n := len(b.c.jobs["job-array"].active); n != 2 {
+		t.Fatalf("%d tasks of the array were placed", n)
+	}
+}
+
+// Room of tasks that end within a boot is not rented for, but work that has
+// waited for a boot has seen others take it: there a backlog stayed for a
+// minute while hardly anything was rented.
+func TestWorkThatWaitedForABootIsRentedFor(t *testing.T) {
+	b := newBench(t, Options{})
+	b.c.Begin(b.now)
+	o := b.report("n-1", "a", 0)
+	b.job("job-1", wire.Spec{Tasks: 4, CPUs: 2, EstimateS: 3})
+	b.step()
+	o = b.report("n-1", "a", o.Token)
+	var on []wire.Task
+	for _, order := range o.Orders {
+		on = append(on, wire.Task{Name: order.Name, Attempt: order.Attempt, State: wire.TaskRunning})
+	}
+	b.report("n-1", "a", o.Token, on...)
+	b.job("job-2", wire.Spec{Tasks: 4, CPUs: 2, EstimateS: 3})
+	for s := range 15 { // the type boots in 10 s
+		b.now = b.now.Add(time.Second)
+		b.report("n-1", "a", o.Token, on...)
+		if e := b.step(); len(e.Rent) > 0 {
+			if s < 9 {
+				t.Fatalf("rented after %d s, although room was about to come", s+1)
+			}
+			return
+		}
+	}
+	t.Fatal("nothing was rented for work that had waited for a boot")
+}
