--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -125,13 +125,8 @@
 				}
 			}
 			sh, alike := c.shapeOf(j, j.zones)
-			if alike && full[sh] {
-				if nominal && c.mustBorrow(j) {
-					borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
-				}
-				continue
-			}
-			if noRoom := c.admit(j, nominal); noRoom {
+			tried := !alike || !full[sh]
+			if tried && c.admit(j, nominal) {
 				// The shape of what is left: some of it may have been placed.
 				if sh, alike := c.shapeOf(j, j.zones); alike {
 					full[sh] = true
@@ -140,7 +135,7 @@
 			if nominal && c.mustBorrow(j) {
 				borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
 			}
-			if len(j.pending) > 0 {
+			if tried && len(j.pending) > 0 {
 				if passed++; passed > c.opt.PassOver {
 					break
 				}
@@ -173,13 +168,18 @@
 // gang's always, a service's when it starts.
 func (j *job) whole() bool { return j.spec.Gang || j.spec.Service && len(j.active) == 0 }
 
+// together is how many of a job's waiting tasks must find room at once.
+func (j *job) together() int {
+	if j.whole() {
+		return len(j.pending)
+	}
+	return 1
+}
+
 // mustBorrow tells whether a job's waiting tasks fit quota, but not within the
 // guarantee.
 func (c *Core) mustBorrow(j *job) bool {
-	n := 1
-	if j.whole() {
-		n = len(j.pending)
-	}
+	n := j.together()
 	return len(j.pending) > 0 && !c.fitsQuota(j, true, n) && c.fitsQuota(j, false, n)
 }
 
@@ -297,10 +297,7 @@
 			j.waits, j.keptSince = c.now.Add(-c.opt.KeepAfter/2), 0
 			continue
 		}
-		n := 1
-		if j.whole() {
-			n = len(j.pending)
-		}
+		n := j.together()
 		if !c.fitsQuota(j, false, n) {
 			continue // room is not what it waits for
 		}
@@ -315,16 +312,19 @@
 func (c *Core) keepFor(j *job, n, kept int) int {
 	need := placement.Of(j.spec)
 	zones := placement.Zones{}
+	hold := func(m *machine) {
+		for room := m.total; n > 0 && need.Within(room) && zones.Admits(j.spec, m.Zone); n-- {
+			room = room.Minus(need)
+			zones[m.Zone]++
+		}
+	}
 	var free []*machine
 	for _, m := range c.ready {
 		if !placement.Allowed(j.spec, m.Site) || !need.Within(m.total) {
 			continue
 		}
 		if m.keptFor == j {
-			for room := m.total; n > 0 && need.Within(room) && zones.Admits(j.spec, m.Zone); n-- {
-				room = room.Minus(need)
-				zones[m.Zone]++
-			}
+			hold(m)
 		} else if m.keptFor == nil {
 			free = append(free, m)
 		}
@@ -343,10 +343,7 @@
 		if j.keptSince == 0 {
 			j.keptSince = c.now
 		}
-		for room := m.total; n > 0 && need.Within(room) && zones.Admits(j.spec, m.Zone); n-- {
-			room = room.Minus(need)
-			zones[m.Zone]++
-		}
+		hold(m)
 	}
 	return added
 }
@@ -516,7 +513,6 @@
 		stopped: map[*assignment]bool{}, failed: map[hopeless]bool{}}
 	for _, t := range c.opt.Teams {
 		r.over[t.Name] = c.book.Over(t.Name)
-		r.teams = append(r.teams, t.Name)
 	}
 	r.tally()
 	for _, j := range waiting {
@@ -530,7 +526,7 @@
 		}
 		r.options = nil
 		for range j.pending {
-			victims, ok := r.make(j)
+			victims, ok := r.make(j, nil)
 			if !ok {
 				break
 			}
@@ -576,7 +572,6 @@
 	stopped map[*assignment]bool
 	// zones counts a job's tasks with those that room is being made for.
 	zones placement.Zones
-	teams []ids.Team
 	there []work // whose work there is at all
 	// failed holds what no room could be made for in this pass. Nothing gets
 	// easier during a pass, so the like of it is not tried again.
@@ -595,8 +590,8 @@
 // hopeless is all that decides whether room can be made for a task.
 type hopeless struct {
 	shape
-	work
-	by claim
+	team ids.Team
+	by   claim
 }
 
 // option is a machine where room could be made, and at what cost.
@@ -613,7 +608,7 @@
 	var all []*assignment
 	r.options = nil
 	for range j.pending {
-		victims, ok := r.makeOn(j, coming)
+		victims, ok := r.make(j, coming)
 		if !ok {
 			r.over, r.owed, r.stopped = over, owed, stopped
 			for m, free := range coming {
@@ -688,11 +683,9 @@
 }
 
 // make finds room for one more task of a job, and the tasks that must be
-// stopped for it.
-func (r *room) make(j *job) ([]*assignment, bool) { return r.makeOn(j, nil) }
-
-// makeOn is make; it notes in before what was coming on the machines it uses.
-func (r *room) makeOn(j *job, before map[*machine]placement.Resources) ([]*assignment, bool) {
+// stopped for it. In before, if there is one, it notes what was coming on the
+// machine that it uses.
+func (r *room) make(j *job, before map[*machine]placement.Resources) ([]*assignment, bool) {
 	by := r.claim(j)
 	if by == claimNone || by == claimOwn && !r.stoppable(j, by) {
 		return nil, false
@@ -704,7 +697,7 @@
 	if r.c.hasty(j) {
 		sh.image = j.spec.Image
 	}
-	key := hopeless{sh, work{j.spec.Team, j.spec.Priority}, by}
+	key := hopeless{sh, j.spec.Team, by}
 	keyed := alike && len(j.failedOn) == 0
 	if keyed && r.failed[key] {
 		return nil, false
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -318,7 +318,8 @@
 		if pk == nil {
 			continue
 		}
-		if want := c.spare(pk) - c.slots(pk.spec, c.spare(pk)); want > 0 {
+		spare := c.spare(pk)
+		if want := spare - c.slots(pk.spec, spare); want > 0 {
 			p.Add(fleet.Demand{Spec: pk.spec, Count: want})
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -745,6 +745,8 @@
 	c.saveSlices(false)
 }
 
+// saveSlices saves the dirty slices that hold placements, or else those that
+// have lagged behind for long enough.
 func (c *Core) saveSlices(urgent bool) {
 	type item struct {
 		s *slice
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -42,7 +42,6 @@
 	tick       ids.Tick
 	token      ids.Token // highest that the worker has shown
 	lastHeard  ids.Instant
-	newestAt   ids.Instant // when the newest message came
 	answeredAt ids.Instant
 	fenced     bool
 	fencedAt   ids.Instant
@@ -223,13 +222,13 @@
 		// the answer: that renews the lease from when the message was sent,
 		// which is before the newest came.
 		if !direct {
-			m.answeredAt = max(m.answeredAt, m.newestAt)
+			m.answeredAt = max(m.answeredAt, m.lastHeard)
 		}
 		return wire.Orders{Token: c.tokenOf(m), Orders: []wire.Order{}}, true
 	}
 	c.setSite(m, placement.Site{Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot}, rep.Endpoint)
 	c.hear(m, rep, direct)
-	m.lastHeard, m.newestAt = now, now
+	m.lastHeard = now
 	if z := c.from[rep.Zone]; z != nil {
 		z.heard = now
 	} else {
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -713,27 +713,10 @@
 					t.Fatalf("rules broken: %v", s.broken)
 				}
 			}
-			s.faults = false
-			for _, id := range all {
-				if s.specs[id].Service {
-					s.withdraw(id)
-				}
-			}
 			for _, w := range s.workers {
 				w.sick = false
 			}
-			for range 60 {
-				s.run(20 * time.Second)
-				if s.allOver(all) {
-					break
-				}
-			}
-			if len(s.broken) > 0 {
-				t.Fatalf("rules broken: %v", s.broken)
-			}
-			if !s.allOver(all) {
-				t.Fatalf("jobs never ended: %v\n%s", s.unfinished(all), s.core.Summary())
-			}
+			s.toTheEnd(all, 20*time.Minute)
 			if s.starts == 0 {
 				t.Fatal("nothing ran")
 			}
@@ -785,29 +768,37 @@
 		}
 	}
 	work += s.core.Work
+	s.toTheEnd(all, 5*time.Minute)
+	if most < 1000 {
+		t.Fatalf("the day had only %d machines", most)
+	}
+	if per := float64(work) / float64(s.starts); per > 400 {
+		t.Errorf("%.0f machines were looked at for each of %d tasks started", per, s.starts)
+	}
+}
+
+// toTheEnd ends the faults and the services. Every array must then come to its
+// end in time, with no rule broken.
+func (s *sim) toTheEnd(all []ids.JobID, within time.Duration) {
+	s.t.Helper()
 	s.faults = false
 	for _, id := range all {
 		if s.specs[id].Service {
 			s.withdraw(id)
 		}
 	}
-	for range 30 {
-		s.run(10 * time.Second)
+	const part = 10 * time.Second
+	for passed := time.Duration(0); passed < within; passed += part {
+		s.run(part)
 		if s.allOver(all) {
 			break
 		}
 	}
 	if len(s.broken) > 0 {
-		t.Fatalf("rules broken: %v", s.broken)
+		s.t.Fatalf("rules broken: %v", s.broken)
 	}
 	if !s.allOver(all) {
-		t.Fatalf("jobs never ended: %v\n%s", s.unfinished(all), s.core.Summary())
-	}
-	if most < 1000 {
-		t.Fatalf("the day had only %d machines", most)
-	}
-	if per := float64(work) / float64(s.starts); per > 400 {
-		t.Errorf("%.0f machines were looked at for each of %d tasks started", per, s.starts)
+		s.t.Fatalf("jobs never ended: %v\n%s", s.unfinished(all), s.core.Summary())
 	}
 }
 
