Hold with few controllers left, and after standing still

Now worker connections beyond 70% of the room are closed after their answer, idle ones sooner; listeners go on; a leader must have asked the state service within 5 s to act without the key; cloud calls check the right to make them after waiting for their turn; an ended term answers nobody; a poll's answer older than its time is not given; and once all peers follow a leader, what silent machines hold waits for a lease, not the grace.

--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -30,17 +30,31 @@
 type Client struct {
 	http   *httpc.Client
 	budget *rate.Limiter
+	may    func() bool
 }
 
 // New makes a client for an address with a budget of rps calls a second.
 func New(addr string, rps float64) *Client {
-	return &Client{httpc.New(addr, 8, 4<<20), rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
+	return &Client{http: httpc.New(addr, 8, 4<<20), budget: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
+}
+
+// While is the same client, budget included, for as long as may says so. It
+// asks just before each call: the cloud knows no fencing, and a call that
+// waited for its turn may have waited for longer than its caller had the right
+// to make it.
+func (c *Client) While(may func() bool) *Client {
+	cp := *c
+	cp.may = may
+	return &cp
 }
 
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
 	if err := c.budget.Wait(ctx); err != nil {
 		return fmt.Errorf("%w: budget: %w", ErrTrouble, err)
 	}
+	if c.may != nil && !c.may() {
+		return fmt.Errorf("%w: the right to call it is over", ErrTrouble)
+	}
 	var raw []byte
 	if in != nil {
 		raw = wire.Encode(in)
--- a/election/election.go
+++ b/election/election.go
@@ -48,6 +48,8 @@
 
 	clock ids.Clock
 	valid atomic.Int64 // ids.Instant until which the key is surely held
+	asked atomic.Int64 // ids.Instant when the last renewal that ended was begun
+	over  atomic.Bool
 	grace time.Duration
 	end   context.CancelCauseFunc
 }
@@ -55,15 +57,32 @@
 // Holds tells whether the key is surely held now.
 func (t *Term) Holds() bool { return t.clock.Now() < ids.Instant(t.valid.Load()) }
 
+// askedWithin is how lately a renewal must have been tried, whatever came of
+// it, by who acts without holding the key. It is longer than one takes that
+// gets no answer.
+const askedWithin = 5 * time.Second
+
 // MayAnswer tells whether workers may be answered: while the key is held, and
 // for a bounded grace after it, in which the state service may be away for
-// everyone. A successor counts on that bound.
+// everyone. A successor counts on that bound. A process that stood still while
+// its clocks ran on finds its key expired, and does not know yet whether the
+// state service was away or somebody else leads: it must ask first.
 func (t *Term) MayAnswer() bool {
-	return t.clock.Now() < ids.Instant(t.valid.Load()).Add(t.grace)
+	now := t.clock.Now()
+	if t.over.Load() {
+		return false
+	}
+	valid := ids.Instant(t.valid.Load())
+	return now < valid || now < valid.Add(t.grace) && now < ids.Instant(t.asked.Load()).Add(askedWithin)
 }
 
-// End ends the term.
-func (t *Term) End(cause error) { t.end(cause) }
+// End ends the term. Nobody is answered in its name from here on, even by work
+// that has yet to notice: others take a node's word that it follows a later
+// leader.
+func (t *Term) End(cause error) {
+	t.over.Store(true)
+	t.end(cause)
+}
 
 var (
 	// ErrReplaced ends a term when a later leader is known.
@@ -195,6 +214,7 @@
 	}
 	t := &Term{clock: e.clock, grace: e.grace}
 	t.valid.Store(int64(e.validity(asked)))
+	t.asked.Store(int64(asked))
 	txn := statestore.Txn{
 		Guards: []statestore.Guard{{Key: ledger.LeaderKey, Stamp: guard}},
 		Apply:  []statestore.Op{{Write: ledger.LeaderKey, Value: e.self, Lease: lease}},
@@ -223,10 +243,14 @@
 	defer end(nil)
 	t.end = end
 	e.mu.Lock()
-	e.term = t
-	if t.Stamp > e.leader.Stamp {
-		e.leader = Leader{e.self, t.Stamp}
+	if e.leader.Stamp > t.Stamp {
+		// Somebody leads since: the answer to our claim was late, or this
+		// process stood still. Peers may have been told so already.
+		e.mu.Unlock()
+		return ErrReplaced
 	}
+	e.term = t
+	e.leader = Leader{e.self, t.Stamp}
 	e.mu.Unlock()
 	e.log.Info("leading", "stamp", t.Stamp)
 
@@ -237,7 +261,7 @@
 		if err == nil {
 			err = errors.New("the term's work ended")
 		}
-		end(err)
+		t.End(err)
 	}()
 	e.renew(tctx, t, lease)
 	<-done
@@ -262,13 +286,14 @@
 	for ctx.Err() == nil {
 		asked := e.clock.Now()
 		err := e.store.Touch(ctx, lease)
+		t.asked.Store(int64(asked))
 		switch {
 		case err == nil:
 			t.valid.Store(int64(e.validity(asked)))
 		case errors.Is(err, statestore.ErrNoLease):
 			t.End(errLost)
 			return
-		case !t.MayAnswer():
+		case e.clock.Now() >= ids.Instant(t.valid.Load()).Add(t.grace):
 			t.End(errGrace)
 			return
 		}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -72,13 +72,21 @@
 	s       *service
 	mu      sync.Mutex
 	refused bool
+	held    time.Time // requests wait until then
 }
 
+// hold keeps requests from their answers for a time.
+func (c *client) hold(d time.Duration) { c.mu.Lock(); c.held = time.Now().Add(d); c.mu.Unlock() }
+
 func (c *client) refuse(v bool) { c.mu.Lock(); c.refused = v; c.mu.Unlock() }
 
 func (c *client) enter() error {
 	time.Sleep(2 * time.Millisecond)
 	c.mu.Lock()
+	held := time.Until(c.held)
+	c.mu.Unlock()
+	time.Sleep(held)
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.s.mu.Lock()
 	c.s.sweep()
@@ -353,3 +361,50 @@
 		<-m.gone
 	})
 }
+
+// A leader that stood still for longer than its lease finds its clocks moved on
+// and its key expired. Within the grace it would answer workers and act on what
+// it had decided, as in an outage. It must not, before it has asked whether
+// this is one; nor may work that has not noticed the end of its term.
+func TestNoAnswersAfterStandingStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, w := newService(), &watcher{holding: map[ids.NodeName]*Term{}}
+		m := w.start(t, s, "n0", 1)
+		time.Sleep(time.Second)
+		_, term := w.leader()
+		m.c.hold(12 * time.Second)
+		time.Sleep(11 * time.Second)
+		if term.MayAnswer() {
+			t.Error("answers workers, though nothing tells that there is an outage")
+		}
+		time.Sleep(5 * time.Second)
+		if term.MayAnswer() || m.e.Term() == term {
+			t.Error("the term that was lost goes on")
+		}
+		_, term = w.leader()
+		term.End(ErrReplaced)
+		if term.MayAnswer() {
+			t.Error("answers workers in the name of a term that was ended")
+		}
+		m.cancel()
+		<-m.gone
+	})
+}
+
+// A claim whose answer comes after a later leader was heard of begins no term:
+// peers may have been told already that this node follows that leader.
+func TestLateClaimBeginsNoTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, w := newService(), &watcher{holding: map[ids.NodeName]*Term{}}
+		c := &client{s: s}
+		c.hold(time.Second)
+		m := w.startOver(t, c, c, "n0", 1)
+		m.e.Observe(Leader{Holder{Name: "n1"}, 50})
+		time.Sleep(5 * time.Second)
+		if m.e.Term() != nil {
+			t.Error("it leads all the same")
+		}
+		m.cancel()
+		<-m.gone
+	})
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -97,14 +97,7 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			// Out of sockets, most likely; that passes.
-			log.Warn("mesh accept", "err", err)
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-time.After(100 * time.Millisecond):
-			}
-			continue
+			return fmt.Errorf("mesh: %w", err)
 		}
 		wg.Go(func() { serveConn(ctx, c, h, log) })
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -105,12 +105,15 @@
 	if err != nil {
 		return fmt.Errorf("mesh_addr: %w", err)
 	}
-	// Outgoing connections, peers and the runtime need sockets too.
-	conns := max(16, n.cfg.Settings.Resources.Sockets*3/4)
-	app := server.New(n, conns, n.log)
+	s := &n.cfg.Settings
+	app := server.New(n, server.Limits{
+		// Outgoing connections, peers and the runtime need sockets too.
+		Conns: max(16, s.Resources.Sockets*3/4),
+		Idle:  max(15*time.Second, 3*ids.Seconds(s.Workers.ReportS)),
+	}, n.log)
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return server.Serve(ctx, app, api) })
-	g.Go(func() error { return mesh.Serve(ctx, meshLn, n.handle, n.log) })
+	g.Go(func() error { return server.Serve(ctx, app, patient{api, n.log}) })
+	g.Go(func() error { return mesh.Serve(ctx, patient{meshLn, n.log}, n.handle, n.log) })
 	g.Go(func() error { return n.election.Run(ctx) })
 	g.Go(func() error { return n.intake.Run(ctx) })
 	g.Go(func() error { return n.polls.run(ctx) })
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,9 +9,11 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"ospreystile.example/ospreystile/cloud"
 	"ospreystile.example/ospreystile/config"
 	"ospreystile.example/ospreystile/election"
 	"ospreystile.example/ospreystile/httpc"
@@ -212,3 +214,58 @@
 		t.Errorf("a refused connection: %v", err)
 	}
 }
+
+// fullOnce is a listener of a process that is out of sockets at first.
+type fullOnce struct {
+	net.Listener
+	left int
+}
+
+func (l *fullOnce) Accept() (net.Conn, error) {
+	if l.left > 0 {
+		l.left--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// A node that is out of sockets goes on once it has some again.
+func TestAcceptsAgainOnceThereAreSockets(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := patient{&fullOnce{ln, 2}, slog.New(slog.DiscardHandler)}
+	go func() {
+		if c, err := net.Dial("tcp4", ln.Addr().String()); err == nil {
+			c.Close()
+		}
+	}()
+	c, err := p.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	ln.Close()
+	if _, err := p.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("closed: %v", err)
+	}
+}
+
+// The cloud fences nobody: a call that waited for its turn while its leader was
+// replaced, or stood still, is not made any more.
+func TestCallsOfAnEndedTermAreNotMade(t *testing.T) {
+	var calls atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { calls.Add(1) }))
+	defer srv.Close()
+	may := new(atomic.Bool)
+	may.Store(true)
+	c := cloud.New(strings.TrimPrefix(srv.URL, "http://"), 1).While(may.Load)
+	if err := c.Return(t.Context(), []ids.Host{"n-1"}); err != nil || calls.Load() != 1 {
+		t.Fatalf("%d calls, %v", calls.Load(), err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { may.Store(false) }) // while the next waits for the budget
+	if err := c.Return(t.Context(), []ids.Host{"n-1"}); err == nil || calls.Load() != 1 {
+		t.Errorf("%d calls, %v", calls.Load(), err)
+	}
+}
--- a/node/polls.go
+++ b/node/polls.go
@@ -131,6 +131,11 @@
 	}
 	select {
 	case a := <-done:
+		// Both may be ready at once after this process stood still. What was
+		// true before is then older than what others may have told since.
+		if d, ok := ctx.Deadline(); ok && time.Now().After(d) {
+			return pollAnswer{err: context.DeadlineExceeded}
+		}
 		return a
 	case <-ctx.Done():
 		return pollAnswer{err: ctx.Err()}
--- a/node/polls_test.go
+++ b/node/polls_test.go
@@ -212,3 +212,30 @@
 		t.Errorf("placed %v", written)
 	}
 }
+
+// stoodStill is a context whose time is over although its timer has not fired:
+// so a process finds it that stood still while its clocks ran on.
+type stoodStill struct{ context.Context }
+
+func (stoodStill) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+
+// An answer that was ready before a process stood still is older by then than
+// what others may have told meanwhile.
+func TestAnswersFromBeforeStandingStillAreNotGiven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &records{rng: rand.New(rand.NewPCG(1, 9)), kept: 40}
+		r.write("job-1", ledger.Job{Status: wire.StatusQueued, Tasks: 2})
+		p := pollsOf(r)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- p.run(ctx) }()
+		if a := p.ask(ctx, "job-1"); a.err != nil {
+			t.Errorf("in time: %v", a.err)
+		}
+		if a := p.ask(stoodStill{ctx}, "job-1"); a.err == nil {
+			t.Errorf("too late: %+v", a)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/node/term.go
+++ b/node/term.go
@@ -26,6 +26,7 @@
 	core   *scheduler.Core
 	events chan func()
 	ledger *ledger.Committer
+	cloud  *cloud.Client
 	ctx    context.Context
 	tasks  *errgroup.Group
 }
@@ -119,7 +120,7 @@
 
 func newTerm(n *Node, key *election.Term) *term {
 	fence := &statestore.Guard{Key: ledger.LeaderKey, Stamp: key.Stamp}
-	return &term{n: n, key: key, events: make(chan func(), 64),
+	return &term{n: n, key: key, events: make(chan func(), 64), cloud: n.cloud.While(key.MayAnswer),
 		ledger: ledger.NewCommitter(n.leaderState, n.limits(), fence, n.log)}
 }
 
@@ -139,6 +140,7 @@
 	g.Go(func() error { return t.ledger.Run(t.ctx) })
 	g.Go(func() error { return t.watchJobs(since) })
 	g.Go(t.listMachines)
+	g.Go(t.awaitPeers)
 	g.Go(t.loop)
 	err = g.Wait()
 	if errors.Is(err, context.Canceled) && ctx.Err() != nil {
@@ -339,7 +341,7 @@
 // the same name, which rents nothing twice.
 func (t *term) rent(r wire.Rental) {
 	for t.ctx.Err() == nil {
-		hosts, err := t.n.cloud.Rent(t.ctx, r)
+		hosts, err := t.cloud.Rent(t.ctx, r)
 		switch {
 		case err == nil, errors.Is(err, cloud.ErrNoCapacity), errors.Is(err, cloud.ErrRefused):
 			t.n.log.Info("rental", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(hosts))
@@ -354,7 +356,7 @@
 // giveBack returns machines, until the cloud says that they are gone.
 func (t *term) giveBack(hosts []ids.Host) {
 	for t.ctx.Err() == nil {
-		err := t.n.cloud.Return(t.ctx, hosts)
+		err := t.cloud.Return(t.ctx, hosts)
 		if err == nil {
 			t.n.log.Info("returned", "hosts", hosts)
 			t.post(t.ctx, func() { t.core.ReturnResult(t.n.clock.Now(), hosts, true) })
@@ -394,11 +396,26 @@
 	}
 }
 
+// awaitPeers waits until all other controllers follow this leader, and tells
+// the core.
+func (t *term) awaitPeers() error {
+	follows := func(p *peer) bool { return p.stamp.Load() >= uint64(t.key.Stamp) }
+	for _, p := range t.n.peers {
+		for !follows(p) {
+			if !ids.Pause(t.ctx, 200*time.Millisecond) {
+				return t.ctx.Err()
+			}
+		}
+	}
+	t.post(t.ctx, func() { t.core.Followed(t.n.clock.Now()) })
+	return nil
+}
+
 // listMachines reads the cloud's list.
 func (t *term) listMachines() error {
 	for {
 		asked := t.n.clock.Now()
-		list, err := t.n.cloud.List(t.ctx)
+		list, err := t.cloud.List(t.ctx)
 		if err == nil {
 			t.post(t.ctx, func() { t.core.MachineList(t.n.clock.Now(), asked, list) })
 		} else {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -188,19 +188,22 @@
 
 // Core is the scheduler of one term.
 type Core struct {
-	opt      Options
-	started  ids.Instant
-	now      ids.Instant
-	types    map[ids.MachineType]*wire.MachineType
-	typeList []wire.MachineType
-	jobs     map[ids.JobID]*job // all that are not over, and withdrawn ones with tasks
-	ended    map[ids.JobID]string
-	machines map[ids.Host]*machine
-	order    []*machine // machines by host
-	gone     map[ids.Host]bool
-	from     map[ids.Zone]*zoneState
-	book     *quota.Book
-	backoff  *fleet.Backoff
+	opt     Options
+	started ids.Instant
+	// othersUntil is the latest that an earlier leader can have received a
+	// report which it then answered.
+	othersUntil ids.Instant
+	now         ids.Instant
+	types       map[ids.MachineType]*wire.MachineType
+	typeList    []wire.MachineType
+	jobs        map[ids.JobID]*job // all that are not over, and withdrawn ones with tasks
+	ended       map[ids.JobID]string
+	machines    map[ids.Host]*machine
+	order       []*machine // machines by host
+	gone        map[ids.Host]bool
+	from        map[ids.Zone]*zoneState
+	book        *quota.Book
+	backoff     *fleet.Backoff
 
 	changes    map[uint64]*pendingChange
 	nextChange uint64
@@ -399,6 +402,10 @@
 // Begin ends the loading of records.
 func (c *Core) Begin(now ids.Instant) {
 	c.started, c.now = now, now
+	c.othersUntil = now
+	if c.opt.Predecessor {
+		c.othersUntil = now.Add(c.opt.Grace)
+	}
 	c.lastFleet = now
 	c.lastWrites = now
 	for _, j := range c.jobs {
@@ -420,6 +427,17 @@
 	c.changed = true
 }
 
+// Followed tells that every other controller has said, since this term began,
+// that it follows this leader. A process that knows of a later leader answers
+// no report in the name of an earlier one, nor does one that was started
+// since; so no worker's lease can have been renewed by anybody else for a
+// report sent after now, and what silent workers hold need not wait for the
+// grace.
+func (c *Core) Followed(now ids.Instant) {
+	c.now = now
+	c.othersUntil = min(c.othersUntil, now)
+}
+
 func (c *Core) refill(j *job) {
 	j.pending = j.pending[:0]
 	for i := len(j.tasks) - 1; i >= 0; i-- {
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -205,6 +205,27 @@
 	}
 }
 
+// Once all other controllers follow this leader nobody else answers workers, and
+// what a dead machine holds need not wait for the grace. A lease it does wait:
+// a report sent just before may have been answered.
+func TestOnceAllFollowThereIsNoGrace(t *testing.T) {
+	b := newBench(t, Options{Predecessor: true, Grace: 10 * time.Minute})
+	b.inherit(wire.Spec{Tasks: 1}, ledger.Slice{Hosts: []ids.Host{"n-1"}, Zones: []ids.Zone{"a"}, Tasks: []int{0, 1, 0}})
+	b.c.Begin(b.now)
+	followed := 5 * time.Second
+	b.c.Followed(b.now.Add(followed))
+	for _, step := range []struct {
+		after time.Duration
+		held  bool
+	}{{followed + simLease, true}, {followed + simLease + 2*time.Second, false}} {
+		b.now = ids.Instant(time.Hour).Add(step.after)
+		b.step()
+		if held := b.c.book.Used("red").CPUs > 0; held != step.held {
+			t.Errorf("after %v: still counted %v, want %v", step.after, held, step.held)
+		}
+	}
+}
+
 // A late record of a submission must not bring back a job that is over.
 func TestOlderRecordDoesNotReviveAJob(t *testing.T) {
 	b := newBench(t, Options{})
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -759,12 +759,10 @@
 
 // leaseLost tells whether a worker has surely lost its lease: nobody can have
 // answered it for that long. A predecessor without the state service may have
-// gone on answering for its grace, until the worker was fenced.
+// gone on answering for its grace, until the worker was fenced or the
+// predecessor followed this leader.
 func (c *Core) leaseLost(m *machine) bool {
-	last := c.started.Add(c.opt.Grace)
-	if !c.opt.Predecessor {
-		last = c.started
-	}
+	last := c.othersUntil
 	if m.fenced {
 		last = max(m.fencedAt, m.answeredAt)
 	} else if m.answeredAt > last {
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -264,6 +264,8 @@
 	}
 	if s.old != nil {
 		s.stepOf(s.old, s.oldTerm)
+	} else {
+		s.core.Followed(s.now)
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -38,14 +38,29 @@
 
 const mime = "application/msgpack"
 
-// New makes the HTTP application. conns bounds the open connections.
-func New(svc Service, conns int, log *slog.Logger) *fiber.App {
+// Limits bound what the connections of users and workers may take.
+type Limits struct {
+	// Conns is the most open connections.
+	Conns int
+	// Idle is how long a connection stays open without a request. A machine
+	// that lost its power or the network never closes its own.
+	Idle time.Duration
+}
+
+// keepWorkers is the part of the connections up to which those of workers stay
+// open. Beyond it a worker's is closed after its answer: there may be more
+// workers than sockets, and each must have its turn within its lease, without
+// taking the sockets of users and health checks.
+const keepWorkers = 0.7
+
+// New makes the HTTP application.
+func New(svc Service, limits Limits, log *slog.Logger) *fiber.App {
 	app := fiber.New(fiber.Config{
 		BodyLimit:         wire.MaxBody,
-		Concurrency:       conns,
+		Concurrency:       limits.Conns,
 		ReadTimeout:       20 * time.Second,
 		WriteTimeout:      10 * time.Second,
-		IdleTimeout:       2 * time.Minute,
+		IdleTimeout:       limits.Idle,
 		ReduceMemoryUsage: true,
 		CaseSensitive:     true,
 		StrictRouting:     true,
@@ -109,6 +124,9 @@
 		if err := wire.Decode(raw, rep); err != nil || rep.Host == "" || rep.Tenure == 0 {
 			return send(c, Answer{Code: 400})
 		}
+		if float64(app.Server().GetOpenConnectionsCount()) > keepWorkers*float64(limits.Conns) {
+			c.RequestCtx().SetConnectionClose()
+		}
 		return send(c, svc.Hello(c.Context(), raw, rep))
 	})
 	return app
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -34,7 +37,7 @@
 
 func TestEndpoints(t *testing.T) {
 	svc := &fakeService{}
-	app := New(svc, 100, slog.New(slog.DiscardHandler))
+	app := New(svc, Limits{Conns: 100}, slog.New(slog.DiscardHandler))
 	job := wire.Encode(map[string]any{"nameId": "job-1", "workclass": "c", "crew": "t", "shape": "batch", "urgency": "high", "legs": 1,
 		"cpus": 1, "accelerators": 0, "memoryGb": 1, "bundle": "i", "pullGb": 1, "oneZone": false, "spread": false, "loaner": true,
 		"expectS": 1, "snapshotEveryS": 0, "snapshotS": 0})
@@ -80,3 +83,41 @@
 		t.Errorf("a healthy node answers %v, %v", res, err)
 	}
 }
+
+// With more workers than sockets each must still have its turn, and users and
+// health checks theirs: what a worker no longer needs is closed.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	app := New(&fakeService{healthy: true}, Limits{Conns: 10, Idle: time.Minute}, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- Serve(ctx, app, ln) }()
+	defer func() { cancel(); <-served }()
+	workers := make([]*http.Client, 30)
+	for i := range workers {
+		tr := &http.Transport{} // each has a connection of its own
+		defer tr.CloseIdleConnections()
+		workers[i] = &http.Client{Transport: tr}
+	}
+	url := "http://" + ln.Addr().String()
+	for round := range 3 {
+		for i, w := range workers {
+			body := wire.Encode(wire.Report{Host: ids.Host(fmt.Sprintf("n-%d", i)), Tenure: 1})
+			res, err := w.Post(url+"/hello", mime, bytes.NewReader(body))
+			if err != nil || res.StatusCode != 421 {
+				t.Fatalf("round %d, worker %d: %v %v", round, i, res, err)
+			}
+			res.Body.Close()
+		}
+		tr := &http.Transport{}
+		res, err := (&http.Client{Transport: tr}).Get(url + "/up")
+		if err != nil || res.StatusCode != 200 {
+			t.Fatalf("round %d, health check: %v %v", round, res, err)
+		}
+		res.Body.Close()
+		tr.CloseIdleConnections()
+	}
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -18,8 +18,9 @@
 }
 
 // keepIdle is how long a connection to a worker is kept. There may be more
-// workers than sockets.
-const keepIdle = 3 * time.Second
+// workers than sockets, and a term sends commands to hundreds of them within
+// seconds.
+const keepIdle = 500 * time.Millisecond
 
 // New makes an empty client.
 func New() *Client { return &Client{conns: map[string]*httpc.Client{}} }
