--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -277,6 +277,7 @@
 		return
 	}
 	kept := 0
+	held := map[*job][]*machine{}
 	for _, m := range c.order {
 		k := m.keptFor
 		if k == nil {
@@ -288,6 +289,7 @@
 			continue
 		}
 		kept++
+		held[k] = append(held[k], m)
 	}
 	for _, j := range waiting {
 		if j.begun || c.now < j.waits.Add(c.opt.KeepAfter) {
@@ -301,15 +303,17 @@
 		if !c.fitsQuota(j, false, n) {
 			continue // room is not what it waits for
 		}
-		kept += c.keepFor(j, n, kept)
+		kept += c.keepFor(j, n, held[j], kept)
 	}
 }
 
 // keptMost bounds the machines whose room is kept, as a part of all.
 const keptMost = 0.1
 
-// keepFor keeps machines for n tasks of a job: those with most room go first.
-func (c *Core) keepFor(j *job, n, kept int) int {
+// keepFor keeps machines for n tasks of a job, beside those it holds: those with
+// most room go first. With hundreds of jobs waiting it must look at the machines
+// only for those that need more, and not at all once no more may be kept.
+func (c *Core) keepFor(j *job, n int, held []*machine, kept int) int {
 	need := placement.Of(j.spec)
 	zones := placement.Zones{}
 	hold := func(m *machine) {
@@ -318,21 +322,24 @@
 			zones[m.Zone]++
 		}
 	}
+	for _, m := range held {
+		hold(m)
+	}
+	most := keptMost * float64(len(c.ready))
+	if n <= 0 || float64(kept) > most {
+		return 0
+	}
+	c.Work += uint64(len(c.ready))
 	var free []*machine
 	for _, m := range c.ready {
-		if !placement.Allowed(j.spec, m.Site) || !need.Within(m.total) {
-			continue
-		}
-		if m.keptFor == j {
-			hold(m)
-		} else if m.keptFor == nil {
+		if m.keptFor == nil && placement.Allowed(j.spec, m.Site) && need.Within(m.total) {
 			free = append(free, m)
 		}
 	}
 	slices.SortStableFunc(free, func(a, b *machine) int { return cmp.Compare(b.free().CPUs, a.free().CPUs) })
 	added := 0
 	for _, m := range free {
-		if n <= 0 || float64(kept+added) > keptMost*float64(len(c.ready)) {
+		if n <= 0 || float64(kept+added) > most {
 			break
 		}
 		if !zones.Admits(j.spec, m.Zone) {
@@ -535,17 +542,15 @@
 	}
 }
 
-// tally counts what is leaving already and whose work there is to stop.
+// tally takes in what is leaving already and whose work there is to stop.
 func (r *room) tally() {
-	for _, j := range r.c.jobs {
-		t, p := j.spec.Team, j.spec.Priority
-		for _, a := range j.active {
-			if a.stop != stopNone {
-				r.over[t] = r.over[t].Minus(j.amount())
-				r.owed[t] = r.owed[t].Minus(j.amount())
-			} else if !slices.Contains(r.there, work{t, p}) {
-				r.there = append(r.there, work{t, p})
-			}
+	for w, on := range r.c.on {
+		if on.leaving > 0 {
+			r.over[w.team] = r.over[w.team].Minus(on.freeing)
+			r.owed[w.team] = r.owed[w.team].Minus(on.freeing)
+		}
+		if on.staying > 0 {
+			r.there = append(r.there, w)
 		}
 	}
 }
@@ -582,11 +587,32 @@
 	optionBy claim
 }
 
+// work is whose and how important some tasks are.
 type work struct {
 	team ids.Team
 	prio wire.Priority
 }
 
+// onMachines counts the tasks on machines that were not told to stop, and
+// those that were and what they will free. Counting them anew in each pass
+// took a fifth of the processor with ten thousand tasks.
+type onMachines struct {
+	staying, leaving int
+	freeing          quota.Amount
+}
+
+// note keeps the count of tasks on machines.
+func (c *Core) note(a *assignment, staying, leaving int) {
+	w := work{a.job.spec.Team, a.job.spec.Priority}
+	on := c.on[w]
+	on.staying += staying
+	on.leaving += leaving
+	if on.freeing = on.freeing.Plus(a.job.amount().Times(leaving)); on.leaving == 0 {
+		on.freeing = quota.Amount{} // no rest of rounding
+	}
+	c.on[w] = on
+}
+
 // hopeless is all that decides whether room can be made for a task.
 type hopeless struct {
 	shape
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -239,13 +239,20 @@
 	c.paces[s.Class] = r
 }
 
-// replacements rents ahead for services on machines that have been silent for
-// a while. If they are lost, a boot that began only then would be time without
-// them; if they come back, the machine is idle and returned.
+// silentReports is after how many reports' time a single machine's silence is
+// more than a worker needs to find another node.
+const silentReports = 3
+
+// replacements rents ahead for services on machines that are likely to lose
+// them: whose zone is cut off, that are silent, or that will be taken. Their
+// leases run out about when a machine rented now is up, and a boot that began
+// only then would be time without them; if they come back, the machine is idle
+// and returned.
 func (c *Core) replacements(p *fleet.Planner) {
 	var silent []*machine
+	late := c.now > c.resumed.Add(c.opt.Report*3/2) // all have had their turn
 	for _, m := range c.order {
-		if m.services > 0 && !c.takesTasks(m) && (m.reported && c.silent(m, c.opt.Report*3) || m.noticeBy != 0) {
+		if m.services > 0 && !c.takesTasks(m) && (c.cutOff(m.Zone) || late && c.silent(m, silentReports*c.opt.Report) || m.noticeBy != 0) {
 			silent = append(silent, m)
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -202,7 +202,11 @@
 	order       []*machine // machines by host
 	gone        map[ids.Host]bool
 	from        map[ids.Zone]*zoneState
+	lastHeard   ids.Instant // when any machine was last heard
+	lastStep    ids.Instant
+	resumed     ids.Instant // when steps went on after a time without any
 	book        *quota.Book
+	on          map[work]onMachines
 	backoff     *fleet.Backoff
 
 	changes    map[uint64]*pendingChange
@@ -278,6 +282,7 @@
 		gone:       map[ids.Host]bool{},
 		from:       map[ids.Zone]*zoneState{},
 		book:       quota.NewBook(opt.Teams),
+		on:         map[work]onMachines{},
 		backoff:    fleet.NewBackoff(opt.CapacityBack),
 		changes:    map[uint64]*pendingChange{},
 		dirty:      map[*slice]*job{},
@@ -457,6 +462,7 @@
 	a.m.put(a)
 	a.m.used = a.m.used.Plus(placement.Of(a.job.spec))
 	c.book.Take(a.job.spec.Team, a.job.amount())
+	c.note(a, 1, 0)
 }
 
 // detach undoes attach. The caller has shown that the attempt is surely gone
@@ -475,6 +481,11 @@
 		a.m.idleSince = c.now
 	}
 	c.book.Free(a.job.spec.Team, a.job.amount())
+	if a.stop == stopNone {
+		c.note(a, -1, 0)
+	} else {
+		c.note(a, 0, -1)
+	}
 	c.changed = true
 }
 
@@ -593,6 +604,7 @@
 	if a.stop == stopNone {
 		a.stopAt = c.now
 		a.m.count(a, -1)
+		c.note(a, -1, 1)
 	}
 	c.heat(a.m)
 	a.graceS = 0
@@ -715,9 +727,18 @@
 // brings about.
 const watchEvery = 200 * time.Millisecond
 
+// stoodStill is how long a time without a step tells that the leader did not
+// run, rather than that its machines were silent: what they said meanwhile is
+// still to be read.
+const stoodStill = time.Second
+
 // Step runs what time and events call for and hands out the decisions.
 func (c *Core) Step(now ids.Instant) Effects {
 	c.now = now
+	if now > c.lastStep.Add(stoodStill) {
+		c.resumed = now
+	}
+	c.lastStep = now
 	if c.watchSoon || now >= c.lastWatch.Add(watchEvery) {
 		c.watchSoon, c.lastWatch = false, now
 		c.watchMachines()
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -63,9 +63,10 @@
 	showAt     ids.Instant
 
 	tasks map[ids.TaskRef]*assignment
-	// list holds the tasks by job and index; services and pulls count those
-	// that are not told to stop, pulls by image.
+	// list holds the tasks by job and index; staying, services and pulls count
+	// those that are not told to stop, pulls by image.
 	list     []*assignment
+	staying  int
 	services int
 	pulls    map[ids.Image]int
 	// pass, coming and victims belong to one search for room.
@@ -145,6 +146,7 @@
 
 // count keeps the tallies of tasks that are not told to stop.
 func (m *machine) count(a *assignment, n int) {
+	m.staying += n
 	if a.job.spec.Service {
 		m.services += n
 	}
@@ -229,6 +231,7 @@
 	c.setSite(m, placement.Site{Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot}, rep.Endpoint)
 	c.hear(m, rep, direct)
 	m.lastHeard = now
+	c.lastHeard = now
 	if z := c.from[rep.Zone]; z != nil {
 		z.heard = now
 	} else {
@@ -797,12 +800,21 @@
 	// zoneMachines is how many machines must be silent together to tell a zone
 	// that is cut off from machines that are.
 	zoneMachines = 4
+	// zoneQuiet is the least time without a word from a zone after which it
+	// counts as cut off. The fewer machines it has, the longer it takes.
+	zoneQuiet = 2500 * time.Millisecond
 	// zoneBack is how long a zone counts as cut off without a word from it.
 	// So long its machines are kept: they come back without a boot, and with
 	// their images. After that it is tried again.
 	zoneBack = 3 * time.Minute
 )
 
+// silentLeases is for how many leases a machine that holds nothing any more may
+// be silent before it is returned. One that hung or lost the network often
+// comes back soon after its lease, sooner than another boots, and has its
+// images; one that died costs nothing more, and the list tells of it.
+const silentLeases = 2
+
 // countZones notes how many machines each zone has that is heard.
 func (c *Core) countZones() {
 	up := map[ids.Zone]int{}
@@ -812,18 +824,28 @@
 		}
 	}
 	for zone, z := range c.from {
-		if c.now < z.heard.Add(c.opt.Lease/2) {
+		if !c.quiet(z) {
 			z.up = up[zone]
 		}
 	}
 }
 
-// cutOff tells whether a whole zone fell silent at once. What is rented there
-// cannot report: it costs, takes the place of machines elsewhere, and counts
-// as coming.
+// quiet tells whether a zone has not been heard for longer than its machines
+// would leave between them by chance. With hundreds of them that is seconds.
+func (c *Core) quiet(z *zoneState) bool {
+	by := c.opt.Lease / 2
+	if z.up > 0 && c.now < c.lastHeard.Add(zoneQuiet/2) { // others are heard
+		by = min(by, zoneQuiet+10*c.opt.Report/time.Duration(z.up))
+	}
+	return c.now > max(z.heard, c.resumed).Add(by)
+}
+
+// cutOff tells whether a whole zone fell silent at once, while others are
+// heard. What is rented there cannot report: it costs, takes the place of
+// machines elsewhere, and counts as coming.
 func (c *Core) cutOff(zone ids.Zone) bool {
 	z := c.from[zone]
-	return z != nil && z.up >= zoneMachines && c.now > z.heard.Add(c.opt.Lease/2) && c.now < z.heard.Add(zoneBack)
+	return z != nil && z.up >= zoneMachines && c.quiet(z) && c.now < z.heard.Add(zoneBack)
 }
 
 // watchMachines handles what time alone brings about.
@@ -876,10 +898,7 @@
 				}
 			}
 			c.heat(m)
-			if !keep {
-				c.giveBack(m, "silent")
-			}
-		case m.reported && len(m.tasks) == 0 && !keep && c.silent(m, c.opt.Lease*3/2):
+		case m.reported && len(m.tasks) == 0 && !keep && c.silent(m, silentLeases*c.opt.Lease):
 			c.giveBack(m, "silent")
 		case c.overdue(m):
 			c.giveBack(m, "withdrawn")
@@ -921,6 +940,9 @@
 // gone soon, whether it is silent or only does not do as it is told. Giving
 // the machine back is the one sure way.
 func (c *Core) overdue(m *machine) bool {
+	if m.staying == len(m.list) {
+		return false
+	}
 	for _, a := range m.list {
 		if a.stop == stopWithdrawn && c.now > a.job.stopAt.Add(c.opt.Cancel*45/100) {
 			return true
