--- a/node/term.go
+++ b/node/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -27,8 +28,10 @@
 	events chan func()
 	ledger *ledger.Committer
 	cloud  *cloud.Client
-	ctx    context.Context
-	tasks  *errgroup.Group
+	// returns are the machines to give back.
+	returns returnQueue
+	ctx     context.Context
+	tasks   *errgroup.Group
 }
 
 // post hands an event to the loop. It waits while the loop is behind: that
@@ -121,7 +124,8 @@
 func newTerm(n *Node, key *election.Term) *term {
 	fence := &statestore.Guard{Key: ledger.LeaderKey, Stamp: key.Stamp}
 	return &term{n: n, key: key, events: make(chan func(), 64), cloud: n.cloud.While(key.MayAnswer),
-		ledger: ledger.NewCommitter(n.leaderState, n.limits(), fence, n.log)}
+		returns: returnQueue{wake: make(chan struct{}, 1)},
+		ledger:  ledger.NewCommitter(n.leaderState, n.limits(), fence, n.log)}
 }
 
 // lead does the work of one term until its context ends.
@@ -140,6 +144,7 @@
 	g.Go(func() error { return t.ledger.Run(t.ctx) })
 	g.Go(func() error { return t.watchJobs(since) })
 	g.Go(t.listMachines)
+	g.Go(t.returnMachines)
 	g.Go(t.awaitPeers)
 	g.Go(t.loop)
 	err = g.Wait()
@@ -308,10 +313,8 @@
 	for _, r := range e.Rent {
 		t.tasks.Go(func() error { t.rent(r); return nil })
 	}
-	for hosts := e.Return; len(hosts) > 0; {
-		part := hosts[:min(len(hosts), cloud.MaxReturn)]
-		hosts = hosts[len(part):]
-		t.tasks.Go(func() error { t.giveBack(part); return nil })
+	if len(e.Return) > 0 {
+		t.returns.add(e.Return)
 	}
 	for _, addr := range e.Forget {
 		t.n.workers.Forget(addr)
@@ -353,17 +356,61 @@
 	}
 }
 
-// giveBack returns machines, until the cloud says that they are gone.
-func (t *term) giveBack(hosts []ids.Host) {
-	for t.ctx.Err() == nil {
-		err := t.cloud.Return(t.ctx, hosts)
-		if err == nil {
+// returnQueue collects the machines to give back, so that those that become due
+// one by one share a call: rentals need the others.
+type returnQueue struct {
+	mu    sync.Mutex
+	hosts []ids.Host
+	wake  chan struct{}
+}
+
+func (q *returnQueue) add(hosts []ids.Host) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.hosts = append(q.hosts, hosts...)
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *returnQueue) take() []ids.Host {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := min(len(q.hosts), cloud.MaxReturn)
+	part := q.hosts[:n:n]
+	q.hosts = q.hosts[n:]
+	return part
+}
+
+// returnEvery is the least time between two calls that give machines back.
+const returnEvery = 400 * time.Millisecond
+
+// returnMachines gives machines back, until the cloud says that they are gone.
+func (t *term) returnMachines() error {
+	for {
+		select {
+		case <-t.ctx.Done():
+			return t.ctx.Err()
+		case <-t.returns.wake:
+		}
+		for hosts := t.returns.take(); len(hosts) > 0; hosts = t.returns.take() {
+			for {
+				err := t.cloud.Return(t.ctx, hosts)
+				if err == nil {
+					break
+				}
+				t.n.log.Info("return unanswered", "err", err)
+				if !ids.Pause(t.ctx, time.Second) {
+					return t.ctx.Err()
+				}
+			}
 			t.n.log.Info("returned", "hosts", hosts)
 			t.post(t.ctx, func() { t.core.ReturnResult(t.n.clock.Now(), hosts, true) })
-			return
+			if !ids.Pause(t.ctx, returnEvery) {
+				return t.ctx.Err()
+			}
 		}
-		t.n.log.Info("return unanswered", "err", err)
-		ids.Pause(t.ctx, time.Second)
 	}
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -222,9 +222,9 @@
 	passes     uint64
 	lastWatch  ids.Instant
 	watchSoon  bool
-	hot        map[*machine]bool // machines to which a command may have to go
-	calls      int               // calls to workers under way
-	writes     float64           // writes that the rate still allows
+	hot        []*machine // machines to which a command may have to go
+	calls      int        // calls to workers under way
+	writes     float64    // writes that the rate still allows
 	lastWrites ids.Instant
 	dirty      map[*slice]*job
 	finishable map[*job]bool
@@ -293,7 +293,6 @@
 		peaks:      map[string]*peak{},
 		returns:    map[string]int{},
 		paces:      map[string]float64{},
-		hot:        map[*machine]bool{},
 		writes:     opt.WriteRate,
 	}
 	c.SetCatalog(types)
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -55,6 +54,7 @@
 	deafSince ids.Instant
 	keptFor   *job // the job that its room is kept for
 
+	hot        bool // in Core.hot
 	doInflight bool
 	doRetryAt  ids.Instant
 	doFailed   bool      // nothing heard since a direct command failed
@@ -232,11 +232,12 @@
 	c.hear(m, rep, direct)
 	m.lastHeard = now
 	c.lastHeard = now
-	if z := c.from[rep.Zone]; z != nil {
-		z.heard = now
-	} else {
-		c.from[rep.Zone] = &zoneState{heard: now}
+	z := c.from[rep.Zone]
+	if z == nil {
+		z = &zoneState{}
+		c.from[rep.Zone] = z
 	}
+	z.heard = now
 	m.doFailed = false
 	c.apply(m, rep)
 	c.heat(m)
@@ -629,53 +630,72 @@
 // heat notes that a command may have to go to a machine. Only such machines
 // are looked at: looking at all of them after every event costs a node its
 // processor once there are a thousand.
-func (c *Core) heat(m *machine) { c.hot[m] = true }
+func (c *Core) heat(m *machine) {
+	if !m.hot {
+		m.hot = true
+		c.hot = append(c.hot, m)
+	}
+}
 
-// direct lists the workers to which a command should go at once.
+// direct lists the workers to which a command should go at once, those first
+// that have waited longest. After a takeover or a cut hundreds wait, and events
+// come in between: what each step looks at here must be little.
 func (c *Core) direct() {
-	if len(c.hot) == 0 {
-		return
-	}
-	list := make([]*machine, 0, len(c.hot))
-	for m := range c.hot {
-		list = append(list, m)
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].host < list[k].host })
 	room := c.opt.MaxDirect - c.calls
 	if c.opt.MaxDirect <= 0 {
-		room = len(list)
+		room = len(c.hot)
 	}
-	for _, m := range list {
-		switch {
-		case c.machines[m.host] != m || m.returning || m.endpoint == "":
-			delete(c.hot, m) // what changes that heats it again
-		case !m.reported:
-			// After a change of leaders the worker's session is not known, and
-			// it may take seconds until it finds its way here.
-			// A predecessor that lost the state service and us, but not its
-			// workers, keeps them from coming; one that was told of us makes it
-			// give up.
-			if len(m.tasks) == 0 && (m.listed != "running" || m.ours) {
-				delete(c.hot, m)
-			} else if !m.showing && c.now >= m.showAt && room > 0 {
-				m.showing, m.showAt = true, c.now.Add(2*time.Second)
-				c.calls++
-				room--
-				c.out.Show = append(c.out.Show, m.host)
-			}
-		case m.doInflight || m.doFailed:
-			delete(c.hot, m)
-		case c.now < m.doRetryAt:
-		case !c.wantsDirect(m):
-			if !c.mustFence(m) {
-				delete(c.hot, m)
-			}
-		case room > 0:
-			room--
-			delete(c.hot, m)
-			c.out.Direct = append(c.out.Direct, m.host)
+	left := c.hot[:0]
+	for _, m := range c.hot {
+		if m.hot = c.wait(m, &room); m.hot {
+			left = append(left, m)
 		}
 	}
+	clear(c.hot[len(left):])
+	c.hot = left
+}
+
+// wait sends what should go to a machine now, if there is room for a call, and
+// tells whether the machine must be looked at again; otherwise what changes
+// heats it again.
+func (c *Core) wait(m *machine, room *int) bool {
+	switch {
+	case c.machines[m.host] != m || m.returning || m.endpoint == "":
+		return false
+	case !m.reported:
+		if !c.mustAsk(m) {
+			return false
+		}
+		if *room <= 0 {
+			return true
+		}
+		m.showing, m.showAt = true, c.now.Add(2*time.Second)
+		c.calls++
+		*room--
+		c.out.Show = append(c.out.Show, m.host)
+		return false
+	case m.doInflight || m.doFailed:
+		return false
+	case c.now < m.doRetryAt:
+		return true
+	case !c.wantsDirect(m):
+		return c.mustFence(m)
+	case *room <= 0:
+		return true
+	}
+	*room--
+	c.out.Direct = append(c.out.Direct, m.host)
+	return false
+}
+
+// mustAsk tells whether a machine that a predecessor left should be asked for
+// its report now. After a change of leaders its worker's session is not known,
+// and it may take seconds until it finds its way here. A predecessor that lost
+// the state service and us, but not its workers, keeps them from coming; one
+// that was told of us makes it give up.
+func (c *Core) mustAsk(m *machine) bool {
+	return !m.reported && !m.showing && c.now >= m.showAt && !m.returning && m.endpoint != "" &&
+		(len(m.tasks) > 0 || m.listed == "running" && !m.ours)
 }
 
 // mustFence tells whether a machine has yet to show a token of this leader. The
@@ -874,6 +894,9 @@
 		if m.asking {
 			continue
 		}
+		if c.mustAsk(m) {
+			c.heat(m)
+		}
 		keep := mass || c.cutOff(m.Zone)
 		if m.returning {
 			c.giveBack(m, "")
