--- a/node/node_test.go
+++ b/node/node_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ospreystile.example/ospreystile/cloud"
@@ -269,3 +270,31 @@
 		t.Errorf("%d calls, %v", calls.Load(), err)
 	}
 }
+
+// The core is told that everybody follows only when every other controller has
+// said so: one that has not may be an earlier leader that goes on answering.
+func TestAllPeersMustFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testConfig("127.0.0.1:4")
+		cfg.Seeds = []config.Peer{{Name: "n-1", Address: "127.0.0.1:5"}, {Name: "n-2", Address: "127.0.0.1:6"}}
+		n := testNode(t, cfg)
+		tm := newTerm(n, testTerm(7))
+		ctx, cancel := context.WithCancel(t.Context())
+		tm.ctx = ctx
+		done := make(chan error, 1)
+		go func() { done <- tm.awaitPeers() }()
+		for _, step := range []struct {
+			first, second uint64
+			told          int
+		}{{0, 0, 0}, {9, 0, 0}, {9, 6, 0}, {9, 7, 1}} {
+			n.peers[0].stamp.Store(step.first)
+			n.peers[1].stamp.Store(step.second)
+			time.Sleep(time.Second)
+			if told := len(tm.events); told != step.told {
+				t.Errorf("%+v: told %d times", step, told)
+			}
+		}
+		cancel()
+		<-done
+	})
+}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -110,6 +111,7 @@
 			if err != nil || res.StatusCode != 421 {
 				t.Fatalf("round %d, worker %d: %v %v", round, i, res, err)
 			}
+			_, _ = io.Copy(io.Discard, res.Body) // or the connection is not kept
 			res.Body.Close()
 		}
 		tr := &http.Transport{}
