Room kept for a job reaches it, and every job begins before others go on

A successor also forgot how long jobs had waited, and within a team all slots went to the oldest jobs, task by task.

Now a job with kept room is like no other, a pass is due every second while one waits to begin, waiting counts from the submission, and after twice keep_after_s a job's first task goes before the rest of those that have begun. Test: TestEveryJobBeginsThoughOlderOnesGoOn.

--- a/node/term.go
+++ b/node/term.go
@@ -182,7 +182,9 @@
 			return 0, ledger.ErrFenced
 		}
 	}
-	t.core = scheduler.New(n.options(t.key.Stamp, before), *types)
+	opt := n.options(t.key.Stamp, before)
+	opt.WallMS = time.Now().UnixMilli()
+	t.core = scheduler.New(opt, *types)
 	since, err := n.leaderState.List(t.ctx, ledger.JobPrefix, func(e statestore.Entry) error {
 		var rec ledger.Job
 		if err := wire.Decode(e.Value, &rec); err != nil {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -14,7 +14,15 @@
 	"ospreystile.example/ospreystile/wire"
 )
 
-// waiting lists the jobs with tasks to place: by priority, then creation time.
+// mustBegin tells whether a job has waited to begin for so long that it goes
+// before the rest of those that have. A team's quota may all go to its older
+// jobs, task by task: room kept for a later one is of no use to it then.
+func (c *Core) mustBegin(j *job) bool {
+	return !j.begun && c.opt.KeepAfter > 0 && c.now > j.came.Add(2*c.opt.KeepAfter)
+}
+
+// waiting lists the jobs with tasks to place: by priority, then those that must
+// begin, then by creation time.
 func (c *Core) waiting() []*job {
 	var out []*job
 	for _, j := range c.jobs {
@@ -27,6 +35,9 @@
 		if a.spec.Priority != b.spec.Priority {
 			return a.spec.Priority > b.spec.Priority
 		}
+		if x, y := c.mustBegin(a), c.mustBegin(b); x != y {
+			return x
+		}
 		if a.at != b.at {
 			return a.at < b.at
 		}
@@ -58,7 +69,9 @@
 // false for a job that is like no other.
 func (c *Core) shapeOf(j *job, at placement.Zones) (sh shape, ok bool) {
 	s := j.spec
-	if len(s.Types) > 0 || len(c.zones) > 64 {
+	if len(s.Types) > 0 || len(c.zones) > 64 || j.keptSince != 0 {
+		// Room that is kept for a job is there for no other: one like it that
+		// found none must not keep the job from it.
 		return shape{}, false
 	}
 	sh = shape{res: placement.Of(s), prio: s.Priority, spot: s.Spot, zone: s.Zone}
@@ -227,6 +240,7 @@
 func (c *Core) admitIn(j *job, nominal, whole bool) (noRoom bool) {
 	var placed []*assignment
 	var s *search
+	begins := c.mustBegin(j)
 	for k := len(j.pending) - 1; k >= 0; k-- {
 		if !c.fitsQuota(j, nominal, 1) {
 			break
@@ -242,6 +256,10 @@
 		}
 		placed = append(placed, c.place(j, i, m))
 		s.took(m)
+		if begins && !whole {
+			c.changed = true
+			break // the rest has no more right than others
+		}
 	}
 	if whole && len(placed) < len(j.pending) {
 		for _, a := range placed {
@@ -292,7 +310,12 @@
 		held[k] = append(held[k], m)
 	}
 	for _, j := range waiting {
-		if j.begun || c.now < j.waits.Add(c.opt.KeepAfter) {
+		if j.begun {
+			continue
+		}
+		// Time alone lets a job have room kept, or lose it again.
+		c.recheck = c.now.Add(time.Second)
+		if c.now < j.waits.Add(c.opt.KeepAfter) {
 			continue
 		}
 		if j.keptSince != 0 && c.now > j.keptSince.Add(c.opt.KeepFor) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -65,8 +65,12 @@
 	// MaxDirect bounds the calls to workers under way; 0: no bound.
 	MaxDirect int
 	// KeepAfter is how long a job waits to begin until room is kept for it; 0:
-	// never. KeepFor is how long it is kept at a time.
+	// never. KeepFor is how long it is kept at a time. After twice KeepAfter a
+	// job begins before others go on.
 	KeepAfter, KeepFor time.Duration
+	// WallMS is the time of day when the term begins, to tell how long jobs
+	// have waited already; 0: not known.
+	WallMS int64
 }
 
 type taskState uint8
@@ -155,10 +159,11 @@
 	backoff   time.Duration
 	deferred  bool     // goes with the borrowers, behind higher work of its team
 	only      ids.Zone // while a zone is tried for a job that needs one
-	// begun: one of its tasks was placed once. waits is since when it could
-	// not begin, keptSince since when room is kept for it.
+	// begun: one of its tasks was placed once. came is when it was submitted,
+	// waits since when it could not begin, keptSince since when room is kept.
 	begun     bool
 	setAside  bool // see SetAside
+	came      ids.Instant
 	waits     ids.Instant
 	keptSince ids.Instant
 	// coldOK: no machine that holds the image can take the job's tasks, so
@@ -213,6 +218,7 @@
 	nextChange uint64
 	changed    bool        // something happened that scheduling may act on
 	passAt     ids.Instant // no pass before
+	recheck    ids.Instant // a pass is due although nothing changed; 0: none
 	// Work counts the machines that passes of admission have looked at, all
 	// told. It bounds and measures their work without a clock.
 	Work uint64
@@ -322,7 +328,7 @@
 
 func (c *Core) newJob(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) *job {
 	j := &job{id: id, spec: rec.Spec, stamp: stamp, at: rec.SubmittedMS, status: rec.Status,
-		active: map[int]*assignment{}, zones: placement.Zones{}, waits: c.now}
+		active: map[int]*assignment{}, zones: placement.Zones{}, came: c.now, waits: c.now}
 	if j.spec == nil {
 		j.spec = &wire.Spec{Tasks: rec.Tasks}
 	}
@@ -413,7 +419,12 @@
 	c.lastFleet = now
 	c.lastWrites = now
 	for _, j := range c.jobs {
-		j.waits = now
+		j.came = now
+		if c.opt.WallMS > 0 {
+			age := time.Duration(c.opt.WallMS-j.at) * time.Millisecond
+			j.came = now.Add(-min(max(age, 0), time.Hour))
+		}
+		j.waits = j.came
 		switch j.status {
 		case wire.StatusQueued:
 			c.refill(j)
@@ -742,8 +753,8 @@
 		c.watchSoon, c.lastWatch = false, now
 		c.watchMachines()
 	}
-	if c.changed && now >= c.passAt {
-		c.changed = false
+	if (c.changed || c.recheck != 0 && now >= c.recheck) && now >= c.passAt {
+		c.changed, c.recheck = false, 0
 		before := c.Work
 		c.schedule()
 		c.passAt = now.Add(max(c.opt.PassEvery, time.Duration(c.Work-before)*c.opt.PassCost))
@@ -945,6 +956,11 @@
 	for _, t := range c.opt.Teams {
 		fmt.Fprintf(&b, " %s=%.0f", t.Name, c.book.Used(t.Name).CPUs)
 	}
+	for _, zone := range slices.Sorted(maps.Keys(c.from)) {
+		if c.cutOff(zone) {
+			fmt.Fprintf(&b, " cut-off=%s", zone)
+		}
+	}
 	for _, why := range slices.Sorted(maps.Keys(c.returns)) {
 		fmt.Fprintf(&b, " returned-%s=%d", why, c.returns[why])
 	}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -205,6 +205,7 @@
 	s.term++
 	opt := s.opt
 	opt.Stamp, opt.Predecessor = s.leader, before
+	opt.WallMS = int64(time.Duration(s.now) / time.Millisecond)
 	s.core = New(opt, s.types)
 	keys := make([]string, 0, len(s.store))
 	for k := range s.store {
--- a/scheduler/trouble_test.go
+++ b/scheduler/trouble_test.go
@@ -289,3 +289,70 @@
 		t.Fatalf("it began after %v", at)
 	}
 }
+
+// A small deployment was short of machines for minutes: each slot of a team that
+// came free went to the next task of its oldest jobs, and the largest began
+// after seven minutes. Also a successor must know how long a job has waited.
+func TestEveryJobBeginsThoughOlderOnesGoOn(t *testing.T) {
+	begins := func(keep time.Duration, takeover bool) time.Duration {
+		b := newBench(t, Options{KeepAfter: keep, KeepFor: time.Minute})
+		b.c.Begin(b.now)
+		start := b.now
+		wall := func() int64 { return int64(b.now.Sub(start) / time.Millisecond) }
+		submit := func(id ids.JobID, tasks int) {
+			b.c.JobSeen(b.now, id, &ledger.Job{Status: wire.StatusQueued, Tasks: tasks, SubmittedMS: wall(),
+				Spec: &wire.Spec{Team: "red", Tasks: tasks, CPUs: 2}}, ids.Stamp(100+len(b.c.jobs)))
+		}
+		submit("job-old", 200)
+		var on []wire.Task
+		until := map[string]ids.Instant{}
+		for s := range 300 {
+			b.now = b.now.Add(time.Second)
+			if s == 20 {
+				submit("job-late", 4)
+			}
+			if s == 60 && takeover {
+				spec := b.c.jobs["job-late"].spec
+				next := newBench(t, Options{Stamp: 9, KeepAfter: keep, KeepFor: time.Minute, WallMS: wall()})
+				next.now, next.tick = b.now, b.tick
+				next.c.LoadJob("job-old", &ledger.Job{Status: wire.StatusQueued, Tasks: 200, Spec: b.c.jobs["job-old"].spec}, 100)
+				next.c.LoadJob("job-late", &ledger.Job{Status: wire.StatusQueued, Tasks: 4, Spec: spec, SubmittedMS: 21000}, 101)
+				next.c.Begin(next.now)
+				b, on = next, nil
+			}
+			b.step()
+			var left []wire.Task
+			for _, tk := range on {
+				if b.now > until[tk.Name] {
+					tk.State, tk.Cause = wire.TaskEnded, wire.CauseDone
+				}
+				left = append(left, tk)
+			}
+			on = nil
+			o := b.report("n-1", "a", ids.NewToken(b.c.opt.Stamp, 900), left...)
+			for _, tk := range left {
+				if !slices.Contains(verbs(o.Orders, wire.VerbReap), fmt.Sprintf("%s#%d", tk.Name, tk.Attempt)) {
+					on = append(on, tk)
+				}
+			}
+			for _, order := range o.Orders {
+				if order.Verb == wire.VerbRun {
+					on = append(on, wire.Task{Name: order.Name, Attempt: order.Attempt, State: wire.TaskRunning})
+					until[order.Name] = b.now.Add(10 * time.Second)
+				}
+			}
+			if j := b.c.jobs["job-late"]; j != nil && j.begun {
+				return time.Duration(s-20) * time.Second
+			}
+		}
+		return 0
+	}
+	if at := begins(0, false); at != 0 {
+		t.Fatalf("it began after %v without the rule: the day tests nothing", at)
+	}
+	for _, takeover := range []bool{false, true} {
+		if at := begins(40*time.Second, takeover); at == 0 || at > 100*time.Second {
+			t.Errorf("takeover %v: it began after %v", takeover, at)
+		}
+	}
+}
