Test each guard of beginning in time by itself

The test passed with either of the two rules taken out, as the other one sufficed. It now has a case where room is short, one where quota is, and one for how long a job has waited over a succession; each fails without its guard.

--- a/scheduler/trouble_test.go
+++ b/scheduler/trouble_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/scheduler/quota"
 	"ospreystile.example/ospreystile/wire"
 )
 
@@ -290,12 +292,21 @@
 	}
 }
 
-// A small deployment was short of machines for minutes: each slot of a team that
-// came free went to the next task of its oldest jobs, and the largest began
-// after seven minutes. Also a successor must know how long a job has waited.
+// A small deployment was short of machines for minutes. Room kept for a job was
+// refused to it, as an older job like it had found none; and where a team's
+// quota was short, each slot that came free went to the next task of its oldest
+// jobs, and the largest began after seven minutes. A successor must know how
+// long a job has waited.
 func TestEveryJobBeginsThoughOlderOnesGoOn(t *testing.T) {
-	begins := func(keep time.Duration, takeover bool) time.Duration {
-		b := newBench(t, Options{KeepAfter: keep, KeepFor: time.Minute})
+	begins := func(keep time.Duration, quotaShort, takeover bool) time.Duration {
+		opt := Options{KeepAfter: keep, KeepFor: time.Minute}
+		on := map[ids.Host][]wire.Task{"n-1": nil}
+		if quotaShort { // room there is
+			eight := quota.Amount{CPUs: 8}
+			opt.Teams = []quota.Team{{Name: "red", Nominal: eight, Limit: eight, Lend: eight}}
+			on["n-2"] = nil
+		}
+		b := newBench(t, opt)
 		b.c.Begin(b.now)
 		start := b.now
 		wall := func() int64 { return int64(b.now.Sub(start) / time.Millisecond) }
@@ -304,41 +315,41 @@
 				Spec: &wire.Spec{Team: "red", Tasks: tasks, CPUs: 2}}, ids.Stamp(100+len(b.c.jobs)))
 		}
 		submit("job-old", 200)
-		var on []wire.Task
 		until := map[string]ids.Instant{}
 		for s := range 300 {
 			b.now = b.now.Add(time.Second)
 			if s == 20 {
 				submit("job-late", 4)
 			}
-			if s == 60 && takeover {
-				spec := b.c.jobs["job-late"].spec
-				next := newBench(t, Options{Stamp: 9, KeepAfter: keep, KeepFor: time.Minute, WallMS: wall()})
+			if s == 50 && takeover {
+				opt.Stamp, opt.WallMS = 9, wall()
+				next := newBench(t, opt)
 				next.now, next.tick = b.now, b.tick
-				next.c.LoadJob("job-old", &ledger.Job{Status: wire.StatusQueued, Tasks: 200, Spec: b.c.jobs["job-old"].spec}, 100)
-				next.c.LoadJob("job-late", &ledger.Job{Status: wire.StatusQueued, Tasks: 4, Spec: spec, SubmittedMS: 21000}, 101)
+				for id, j := range b.c.jobs {
+					next.c.LoadJob(id, &ledger.Job{Status: wire.StatusQueued, Tasks: j.spec.Tasks, Spec: j.spec, SubmittedMS: j.at}, j.stamp)
+				}
 				next.c.Begin(next.now)
-				b, on = next, nil
+				b = next
+				on["n-1"] = nil
 			}
 			b.step()
-			var left []wire.Task
-			for _, tk := range on {
-				if b.now > until[tk.Name] {
-					tk.State, tk.Cause = wire.TaskEnded, wire.CauseDone
-				}
-				left = append(left, tk)
-			}
-			on = nil
-			o := b.report("n-1", "a", ids.NewToken(b.c.opt.Stamp, 900), left...)
-			for _, tk := range left {
-				if !slices.Contains(verbs(o.Orders, wire.VerbReap), fmt.Sprintf("%s#%d", tk.Name, tk.Attempt)) {
-					on = append(on, tk)
+			for _, h := range slices.Sorted(maps.Keys(on)) {
+				tasks := on[h]
+				for i := range tasks {
+					if b.now > until[tasks[i].Name] {
+						tasks[i].State, tasks[i].Cause = wire.TaskEnded, wire.CauseDone
+					}
 				}
-			}
-			for _, order := range o.Orders {
-				if order.Verb == wire.VerbRun {
-					on = append(on, wire.Task{Name: order.Name, Attempt: order.Attempt, State: wire.TaskRunning})
-					until[order.Name] = b.now.Add(10 * time.Second)
+				o := b.report(h, "a", ids.NewToken(b.c.opt.Stamp, 900), tasks...)
+				reaped := verbs(o.Orders, wire.VerbReap)
+				on[h] = slices.DeleteFunc(tasks, func(tk wire.Task) bool {
+					return slices.Contains(reaped, fmt.Sprintf("%s#%d", tk.Name, tk.Attempt))
+				})
+				for _, order := range o.Orders {
+					if order.Verb == wire.VerbRun {
+						on[h] = append(on[h], wire.Task{Name: order.Name, Attempt: order.Attempt, State: wire.TaskRunning})
+						until[order.Name] = b.now.Add(10 * time.Second)
+					}
 				}
 			}
 			if j := b.c.jobs["job-late"]; j != nil && j.begun {
@@ -347,12 +358,16 @@
 		}
 		return 0
 	}
-	if at := begins(0, false); at != 0 {
-		t.Fatalf("it began after %v without the rule: the day tests nothing", at)
-	}
-	for _, takeover := range []bool{false, true} {
-		if at := begins(40*time.Second, takeover); at == 0 || at > 100*time.Second {
-			t.Errorf("takeover %v: it began after %v", takeover, at)
+	const keep = 40 * time.Second
+	for _, c := range []struct {
+		quotaShort, takeover bool
+		within               time.Duration
+	}{{false, false, keep + 20*time.Second}, {false, true, keep + 20*time.Second}, {true, false, 2*keep + 20*time.Second}} {
+		if at := begins(0, c.quotaShort, c.takeover); at != 0 {
+			t.Errorf("%+v: it began after %v without the rule: the day tests nothing", c, at)
+		}
+		if at := begins(keep, c.quotaShort, c.takeover); at == 0 || at > c.within {
+			t.Errorf("%+v: it began after %v", c, at)
 		}
 	}
 }
