--- a/scheduler/long_test.go
+++ b/scheduler/long_test.go
@@ -15,8 +15,7 @@
 )
 
 // This file plays a long day of a large fleet to measure what the core itself
-// costs. Nothing fails in it and nothing is checked but that the work is done:
-// sim_test.go does that.
+// costs. Nothing fails in it and no rule is checked: sim_test.go does that.
 //
 //	go test ./scheduler -run - -bench LongDay -cpuprofile cpu.out
 
@@ -117,7 +116,7 @@
 			spec := d.specs[ref.Job]
 			w.tasks = append(w.tasks, wire.Task{Name: o.Name, Attempt: o.Attempt, State: wire.TaskRunning})
 			if !spec.Service {
-				d.after(ids.Seconds(spec.EstimateS*(0.7+0.6*d.rng.Float64())), func() { d.end(w, o, wire.CauseDone) })
+				d.after(ids.Seconds(spec.EstimateS*(0.7+0.6*d.rng.Float64())), func() { d.end(w, o) })
 			}
 		case o.Verb == wire.VerbKill && i >= 0 && w.tasks[i].State != wire.TaskEnded:
 			w.tasks[i].State, w.tasks[i].Cause = wire.TaskEnded, wire.CauseStopped
@@ -128,10 +127,10 @@
 	}
 }
 
-func (d *longDay) end(w *longWorker, o wire.Order, cause string) {
+func (d *longDay) end(w *longWorker, o wire.Order) {
 	i := slices.IndexFunc(w.tasks, func(t wire.Task) bool { return t.Name == o.Name && t.Attempt == o.Attempt })
 	if i >= 0 && w.tasks[i].State == wire.TaskRunning {
-		w.tasks[i].State, w.tasks[i].Cause = wire.TaskEnded, cause
+		w.tasks[i].State, w.tasks[i].Cause = wire.TaskEnded, wire.CauseDone
 		d.done++
 		d.change(w)
 	}
@@ -232,6 +231,9 @@
 			d.arrive()
 		}
 		d.run(3 * time.Minute)
+		if d.done == 0 {
+			b.Fatal("nothing was done, so nothing was measured")
+		}
 		b.ReportMetric(float64(d.c.Work)/float64(d.done), "looks/task")
 		b.ReportMetric(float64(len(d.workers)), "machines")
 		b.ReportMetric(float64(d.done), "tasks")
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -296,11 +296,10 @@
 		}
 		answered := false
 		var arrive func()
-		arriveLate := func() { arrive() }
 		arrive = func() {
 			w := s.workers[h]
 			if w != nil && s.now < w.hung {
-				s.after(w.hung.Sub(s.now), arriveLate) // a command is read when it goes on
+				s.after(w.hung.Sub(s.now), arrive) // a command is read when it goes on
 				return
 			}
 			if w == nil || w.dead || s.now < w.cut || s.now < w.deaf {
