--- a/config/config.go
+++ b/config/config.go
@@ -43,6 +43,61 @@
 	Share   float64 `toml:"share"`
 }
 
+// Limits are what the state service takes.
+type Limits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// State is the limits of the state service now, and those that it will have from
+// a moment that nobody announces.
+type State struct {
+	Limits
+	// Next holds what will change; what it does not name stays.
+	Next struct {
+		RPS      *float64 `toml:"rps"`
+		WriteRPS *float64 `toml:"write_rps"`
+		ValueKB  *float64 `toml:"value_kb"`
+		TxnOps   *int     `toml:"txn_ops"`
+	} `toml:"next"`
+}
+
+// Planned is the smaller of what holds now and of what will: what fits it fits at
+// any moment.
+func (s *State) Planned() Limits {
+	return Limits{lesser(s.RPS, s.Next.RPS), lesser(s.WriteRPS, s.Next.WriteRPS),
+		lesser(s.ValueKB, s.Next.ValueKB), lesser(s.TxnOps, s.Next.TxnOps)}
+}
+
+func lesser[T float64 | int](now T, next *T) T {
+	if next == nil {
+		return now
+	}
+	return min(now, *next)
+}
+
+// check names a limit below which no record of ours could be kept: a job's
+// description, or the two halves of a record that is split.
+func (s *State) check() error {
+	for _, f := range []struct {
+		field string
+		v     *float64
+		least float64
+	}{
+		{"rps", s.Next.RPS, 1}, {"write_rps", s.Next.WriteRPS, 1}, {"value_kb", s.Next.ValueKB, 0.5},
+	} {
+		if f.v != nil && !(*f.v >= f.least) {
+			return fmt.Errorf("settings.state.next.%s: must be %v or more, is %v", f.field, f.least, *f.v)
+		}
+	}
+	if s.Next.TxnOps != nil && *s.Next.TxnOps < 2 {
+		return fmt.Errorf("settings.state.next.txn_ops: must be 2 or more, is %d", *s.Next.TxnOps)
+	}
+	return nil
+}
+
 // Settings is the platform's part about the deployment.
 type Settings struct {
 	InitialSize int         `toml:"initial_size"`
@@ -55,12 +110,7 @@
 		LeaseS  float64 `toml:"lease_s"`
 		CancelS float64 `toml:"cancel_s"`
 	} `toml:"workers"`
-	State struct {
-		RPS      float64 `toml:"rps"`
-		WriteRPS float64 `toml:"write_rps"`
-		ValueKB  float64 `toml:"value_kb"`
-		TxnOps   int     `toml:"txn_ops"`
-	} `toml:"state"`
+	State State `toml:"state"`
 	Cloud struct {
 		RPS      float64 `toml:"rps"`
 		ListLagS float64 `toml:"list_lag_s"`
@@ -158,6 +208,9 @@
 		}
 		seen[t.Name] = true
 	}
+	if err := s.State.check(); err != nil {
+		return err
+	}
 	for _, f := range []struct {
 		field string
 		v     float64
--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -12,21 +12,25 @@
 	Stamp ids.Stamp
 }
 
-// SliceChange writes an admission record. The job's version is guarded too,
-// so that nothing is admitted for a job that was withdrawn.
-func SliceChange(id ids.JobID, jobStamp ids.Stamp, n int, stamp ids.Stamp, rec Slice) Change {
-	key := AdmissionKey(id, n)
-	return Change{
-		Guards: []statestore.Guard{{Key: JobKey(id), Stamp: jobStamp}, {Key: key, Stamp: stamp}},
-		Apply:  []statestore.Op{{Write: key, Value: rec}},
+// SliceChange writes admission records: one, or all parts of one that is split, so
+// that no task is ever without its record or in two. The job's version is guarded
+// too, so that nothing is admitted for a job that was withdrawn.
+func SliceChange(id ids.JobID, jobStamp ids.Stamp, at []SliceVersion, recs []Slice) Change {
+	c := Change{Guards: []statestore.Guard{{Key: JobKey(id), Stamp: jobStamp}}}
+	for i, v := range at {
+		key := AdmissionKey(id, v.N)
+		c.Guards = append(c.Guards, statestore.Guard{Key: key, Stamp: v.Stamp})
+		c.Apply = append(c.Apply, statestore.Op{Write: key, Value: recs[i]})
 	}
+	return c
 }
 
 // DoneChange makes a job done for good and drops admission records.
-func DoneChange(id ids.JobID, jobStamp ids.Stamp, nonce uint64, tasks int, drops []SliceVersion) Change {
+func DoneChange(id ids.JobID, jobStamp ids.Stamp, rec Job, drops []SliceVersion) Change {
+	rec.Status = wire.StatusDone
 	c := DropChange(id, drops)
 	c.Guards = append(c.Guards, statestore.Guard{Key: JobKey(id), Stamp: jobStamp})
-	c.Apply = append(c.Apply, statestore.Op{Write: JobKey(id), Value: Job{Nonce: nonce, Status: wire.StatusDone, Tasks: tasks}})
+	c.Apply = append(c.Apply, statestore.Op{Write: JobKey(id), Value: rec})
 	return c
 }
 
@@ -51,9 +55,15 @@
 }
 
 // WithdrawChange makes a job withdrawn for good. The description stays, since
-// quota counts its tasks until they are gone.
-func WithdrawChange(id ids.JobID, stamp ids.Stamp, nonce uint64, rec Job) Change {
+// quota counts its tasks until they are gone; but of one that is larger than the
+// limit in bytes only what that takes: the record may be from before the limits
+// of the state service fell.
+func WithdrawChange(id ids.JobID, stamp ids.Stamp, nonce uint64, rec Job, limit int) Change {
 	rec.Nonce, rec.Status = nonce, wire.StatusWithdrawn
+	if s := rec.Spec; s != nil && wire.Exceeds(rec, limit) {
+		rec.Spec = &wire.Spec{Team: s.Team, Service: s.Service, Gang: s.Gang, Priority: s.Priority, Tasks: s.Tasks,
+			CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot}
+	}
 	key := JobKey(id)
 	return Change{
 		Guards: []statestore.Guard{{Key: key, Stamp: stamp}},
--- a/ledger/committer.go
+++ b/ledger/committer.go
@@ -116,17 +116,36 @@
 			}
 			continue
 		}
-		if err := c.commit(ctx, batch); err != nil {
+		if err := c.commit(ctx, batch, false); err != nil {
 			return err
 		}
 	}
 }
 
 // commit brings one batch to a definite end. Changes whose own guards failed
-// are answered; the rest goes again without them.
-func (c *Committer) commit(ctx context.Context, batch []item) error {
+// are answered; the rest goes again without them. When the service will not take
+// the batch for its size or form, each change goes alone: only those that it will
+// not take by themselves have failed, and they are not sent again. unknown tells
+// that the changes were sent before and may have been applied.
+func (c *Committer) commit(ctx context.Context, batch []item, unknown bool) error {
 	for len(batch) > 0 {
-		out, rest, err := c.send(ctx, batch)
+		out, rest, unsure, err := c.send(ctx, batch, unknown)
+		if errors.Is(err, statestore.ErrRefused) {
+			if len(rest) == 1 {
+				c.log.Warn("change refused", "err", err)
+				rest[0].done(Outcome{Change: rest[0].change, Refused: true}, nil)
+				return nil
+			}
+			for i, it := range rest {
+				if err := c.commit(ctx, []item{it}, unsure); err != nil {
+					for _, it := range rest[i+1:] {
+						it.done(Outcome{Change: it.change}, err)
+					}
+					return err
+				}
+			}
+			return nil
+		}
 		if err != nil {
 			for _, it := range rest {
 				it.done(Outcome{Change: it.change}, err)
@@ -179,30 +198,30 @@
 // later. The same transaction again settles that: its guards let it through
 // at most once, and after a refusal the nonce of what it wrote tells whether
 // it was this very transaction that moved them.
-func (c *Committer) send(ctx context.Context, batch []item) (statestore.Outcome, []item, error) {
+//
+// It also tells whether an earlier sending may have been applied.
+func (c *Committer) send(ctx context.Context, batch []item, unknown bool) (statestore.Outcome, []item, bool, error) {
 	txn := transaction(c.fence, batch)
-	unknown := false
 	for wait := 50 * time.Millisecond; ; wait = min(2*wait, 500*time.Millisecond) {
 		out, err := c.store.Commit(ctx, txn)
+		refused := errors.Is(err, statestore.ErrRefused)
 		switch {
-		case err == nil && !out.Applied && unknown:
+		case (err == nil && !out.Applied || refused) && unknown:
 			applied, stamp, rerr := c.settle(ctx, txn)
 			if rerr == nil {
 				if applied {
-					return statestore.Outcome{Applied: true, Epoch: stamp}, batch, nil
+					return statestore.Outcome{Applied: true, Epoch: stamp}, batch, false, nil
 				}
-				return out, batch, nil
+				return out, batch, refused, err
 			}
 			err = rerr
-		case err == nil:
-			return out, batch, nil
-		case errors.Is(err, statestore.ErrBadAnswer):
-			return out, batch, err
+		case err == nil, refused, errors.Is(err, statestore.ErrBadAnswer):
+			return out, batch, false, err
 		case errors.Is(err, statestore.ErrUnknown):
 			unknown = true
 		}
 		if ctx.Err() != nil {
-			return out, batch, ctx.Err()
+			return out, batch, unknown, ctx.Err()
 		}
 		if !unknown {
 			// Nothing was executed: those who would rather be told now are.
@@ -216,16 +235,16 @@
 			}
 			if len(rest) < len(batch) {
 				if len(rest) == 0 {
-					return out, nil, err
+					return out, nil, false, err
 				}
-				return c.send(ctx, rest)
+				return c.send(ctx, rest, false)
 			}
 		} else if len(batch) > 0 && !batch[0].until.IsZero() && time.Now().After(batch[0].until) {
-			return out, batch, err
+			return out, batch, unknown, err
 		}
 		c.log.Debug("commit not settled", "err", err, "changes", len(batch))
 		if !ids.Pause(ctx, wait) {
-			return out, batch, ctx.Err()
+			return out, batch, unknown, ctx.Err()
 		}
 	}
 }
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/pipeline"
 	"ospreystile.example/ospreystile/statestore"
 	"ospreystile.example/ospreystile/wire"
 )
@@ -17,6 +18,9 @@
 	AdmissionPrefix = "admissions/"
 	LeaderKey       = "leader"
 	FleetKey        = "fleet"
+	// FormatKey tells that every controller is known to read what FormatNew
+	// allows.
+	FormatKey = "format"
 )
 
 // JobKey is the key of a job's record.
@@ -52,6 +56,18 @@
 	Spec   *wire.Spec `msgpack:"p,omitempty"`
 	// SubmittedMS is the time of day of the submission; jobs go by it.
 	SubmittedMS int64 `msgpack:"t,omitempty"`
+	// DoneMS is the time of day when the job was done: those that need it are
+	// ready from then on. Versions that do not know it lose nothing.
+	DoneMS int64 `msgpack:"e,omitempty"`
+}
+
+// Pipeline is what the record says about waiting.
+func (j *Job) Pipeline() pipeline.Record {
+	r := pipeline.Record{Status: j.Status, SubmittedMS: j.SubmittedMS, DoneMS: j.DoneMS}
+	if j.Spec != nil {
+		r.Needs, r.Priority = j.Spec.Needs, j.Spec.Priority
+	}
+	return r
 }
 
 // Over tells whether the job is done or withdrawn, for good.
@@ -59,7 +75,9 @@
 
 // Slice is the durable record of some of a job's tasks: where each was
 // admitted and with which attempt. It is committed before any task of it is
-// started, so a task can be only where its record says.
+// started, so a task can be only where its record says. Which tasks it is for
+// follows from those that it lists: its number says nothing but which record it
+// is, since slices are split when they grow too large, and slice_tasks may change.
 type Slice struct {
 	// Nonce names this very write, so that one whose answer was lost is
 	// recognised.
@@ -82,10 +100,12 @@
 }
 
 // Outcome tells what became of a change. A change that was not applied names
-// the keys whose versions had moved on.
+// the keys whose versions had moved on, or was refused: the state service would
+// not take it as it is, whatever the versions.
 type Outcome struct {
 	Change  Change
 	Applied bool
+	Refused bool
 	Stamp   ids.Stamp
 	Failed  []string
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,8 @@
 	polls *polls
 	edge  *edge
 	crowd crowd
+	// upgrade tells whether all controllers are known to be of this version.
+	upgrade upgrade
 	// workersHere is the size of the crowd as last counted.
 	workersHere atomic.Int32
 }
@@ -71,8 +73,9 @@
 	}
 	nodes := float64(len(cfg.Seeds) + 1)
 	direct := &directRoute{n}
-	n.leaderState = statestore.New(direct, s.State.RPS*0.25)
-	n.userState = statestore.New(&userRoute{n, direct}, s.State.RPS*0.65/nodes)
+	rps := s.State.Planned().RPS
+	n.leaderState = statestore.New(direct, rps*0.25)
+	n.userState = statestore.New(&userRoute{n, direct}, rps*0.65/nodes)
 	n.intake = ledger.NewCommitter(n.userState, n.limits(), nil, log)
 	self := election.Holder{Name: cfg.HostName, Mesh: cfg.MeshAddr, Incarnation: ids.Incarnation(rand.Uint64())}
 	n.election = election.New(n.leaderState.Urgent(), self, op.LeaseTTL(), op.Grace(), n.clock, log, n.lead)
@@ -80,13 +83,20 @@
 	n.crowd.seen = map[ids.Host]ids.Instant{}
 	n.edge = &edge{n: n, wake: make(chan struct{}, 1)}
 	// A fifth of the requests is for polls, by all nodes together.
-	gap := ids.Seconds(nodes / (0.2 * s.State.RPS))
+	gap := ids.Seconds(nodes / (0.2 * rps))
 	n.polls = newPolls(n.userState, gap, n.progress)
 	return n
 }
 
 func (n *Node) limits() ledger.Limits {
-	return ledger.Limits{Ops: n.cfg.Settings.State.TxnOps, Bytes: 48 << 10}
+	s := n.cfg.Settings.State.Planned()
+	// A transaction beyond one second's worth of changes never passes the rate.
+	return ledger.Limits{Ops: max(1, min(s.TxnOps, int(s.WriteRPS))), Bytes: 48 << 10}
+}
+
+// valueBytes is how large a value may be, with a margin for how the service counts.
+func (n *Node) valueBytes() int {
+	return int(n.cfg.Settings.State.Planned().ValueKB*1024*0.95) - 32
 }
 
 // Run serves until the context ends.
@@ -119,6 +129,7 @@
 	g.Go(func() error { return n.polls.run(ctx) })
 	g.Go(func() error { return n.edge.run(ctx) })
 	g.Go(func() error { return n.readCatalog(ctx) })
+	g.Go(func() error { return n.awaitUpgrade(ctx) })
 	for _, p := range n.peers {
 		g.Go(func() error { return n.gossip(ctx, p) })
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -134,6 +134,8 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var body any = map[string]any{"epoch": 9, "entries": []any{}}
 		switch {
+		case r.URL.Path == "/store/format":
+			w.WriteHeader(404)
 		case r.URL.Path == "/store/fleet":
 			body = map[string]any{"v": 1, "stamp": 2}
 		case r.URL.Query().Get("prefix") == "jobs/":
--- a/node/polls.go
+++ b/node/polls.go
@@ -8,6 +8,7 @@
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/pipeline"
 	"ospreystile.example/ospreystile/statestore"
 	"ospreystile.example/ospreystile/wire"
 )
@@ -26,8 +27,8 @@
 
 // known is what the copy holds of a job.
 type known struct {
-	Status string `msgpack:"s"`
-	Tasks  int    `msgpack:"n"`
+	Status string
+	Tasks  int
 }
 
 func (k known) over() bool { return k.Status == wire.StatusDone || k.Status == wire.StatusWithdrawn }
@@ -36,6 +37,7 @@
 type jobCopy struct {
 	read   jobReader
 	jobs   map[ids.JobID]known
+	graph  *pipeline.Graph
 	epoch  ids.Stamp
 	loaded bool
 }
@@ -43,7 +45,7 @@
 // refresh makes the copy at least as new as the moment of the call.
 func (c *jobCopy) refresh(ctx context.Context) error {
 	if !c.loaded {
-		c.jobs = map[ids.JobID]known{}
+		c.jobs, c.graph = map[ids.JobID]known{}, pipeline.New()
 		epoch, err := c.read.List(ctx, ledger.JobPrefix, func(e statestore.Entry) error {
 			c.put(e.Key, e.Value)
 			return nil
@@ -72,23 +74,51 @@
 // put takes a record in. One that can't be read is still that of a job which
 // was accepted: its user must never be told that it is unknown.
 func (c *jobCopy) put(key string, raw []byte) {
-	var k known
-	if err := wire.Decode(raw, &k); err != nil || k.Status == "" {
-		k.Status = wire.StatusQueued
+	var rec ledger.Job
+	if err := wire.Decode(raw, &rec); err != nil || rec.Status == "" {
+		rec = ledger.Job{Status: wire.StatusQueued}
 	}
-	c.jobs[ids.JobID(key[len(ledger.JobPrefix):])] = k
+	id := ids.JobID(key[len(ledger.JobPrefix):])
+	c.jobs[id] = known{rec.Status, rec.Tasks}
+	c.graph.Put(id, rec.Pipeline())
 }
 
-// poll is one question that waits.
+// get tells what is known of a job. One is withdrawn as soon as a job that it
+// needs is, whether or not its own record says so yet.
+func (c *jobCopy) get(id ids.JobID) (known, bool) {
+	k, found := c.jobs[id]
+	if found && c.graph.Of(id).State == pipeline.Withdrawn {
+		k.Status = wire.StatusWithdrawn
+	}
+	return k, found
+}
+
+// named tells whether all jobs of a list were accepted, and whether one of them is
+// withdrawn.
+func (c *jobCopy) named(list []ids.JobID) (all, withdrawn bool) {
+	all = true
+	for _, id := range list {
+		k, found := c.get(id)
+		all = all && found
+		withdrawn = withdrawn || k.Status == wire.StatusWithdrawn
+	}
+	return all, withdrawn
+}
+
+// poll is one question that waits: about a job and, before it is accepted, about
+// those that it names.
 type poll struct {
-	id   ids.JobID
-	done chan<- pollAnswer
+	id    ids.JobID
+	needs []ids.JobID
+	done  chan<- pollAnswer
 }
 
 type pollAnswer struct {
 	job   known
 	found bool
 	err   error
+	// accepted tells that all named jobs were, doomed that one is withdrawn.
+	accepted, doomed bool
 	progress
 }
 
@@ -116,14 +146,14 @@
 }
 
 // ask waits for the answer to one question.
-func (p *polls) ask(ctx context.Context, id ids.JobID) pollAnswer {
+func (p *polls) ask(ctx context.Context, id ids.JobID, needs []ids.JobID) pollAnswer {
 	done := make(chan pollAnswer, 1)
 	p.mu.Lock()
 	if len(p.waiting) >= pollsMost {
 		p.mu.Unlock()
 		return pollAnswer{err: errBusy}
 	}
-	p.waiting = append(p.waiting, poll{id, done})
+	p.waiting = append(p.waiting, poll{id, needs, done})
 	p.mu.Unlock()
 	select {
 	case p.wake <- struct{}{}:
@@ -178,8 +208,9 @@
 	var list []ids.JobID
 	var answers []pollAnswer
 	for _, q := range round {
-		k, found := p.copy.jobs[q.id]
+		k, found := p.copy.get(q.id)
 		a := pollAnswer{job: k, found: found}
+		a.accepted, a.doomed = p.copy.named(q.needs)
 		if !found || k.over() {
 			q.done <- a
 			continue
--- a/node/polls_test.go
+++ b/node/polls_test.go
@@ -108,7 +108,7 @@
 					before := told[id]
 					asked++
 					mu.Unlock()
-					a := nodes[rng.IntN(2)].ask(ctx, id)
+					a := nodes[rng.IntN(2)].ask(ctx, id, nil)
 					mu.Lock()
 					if a.err != nil {
 						failures++
@@ -167,13 +167,13 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- p.run(ctx) }()
-		if a := p.ask(ctx, "job-1"); a.err != nil || !a.found || a.job.Status != wire.StatusQueued {
+		if a := p.ask(ctx, "job-1", nil); a.err != nil || !a.found || a.job.Status != wire.StatusQueued {
 			t.Errorf("unreadable: %+v", a)
 		}
-		if a := p.ask(ctx, "job-2"); a.err != nil || a.job.Status != wire.StatusDone {
+		if a := p.ask(ctx, "job-2", nil); a.err != nil || a.job.Status != wire.StatusDone {
 			t.Errorf("its neighbour: %+v", a)
 		}
-		if a := p.ask(ctx, "job-3"); a.err != nil || a.found {
+		if a := p.ask(ctx, "job-3", nil); a.err != nil || a.found {
 			t.Errorf("never submitted: %+v", a)
 		}
 		cancel()
@@ -229,10 +229,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- p.run(ctx) }()
-		if a := p.ask(ctx, "job-1"); a.err != nil {
+		if a := p.ask(ctx, "job-1", nil); a.err != nil {
 			t.Errorf("in time: %v", a.err)
 		}
-		if a := p.ask(stoodStill{ctx}, "job-1"); a.err == nil {
+		if a := p.ask(stoodStill{ctx}, "job-1", nil); a.err == nil {
 			t.Errorf("too late: %+v", a)
 		}
 		cancel()
--- a/node/routes.go
+++ b/node/routes.go
@@ -19,6 +19,9 @@
 	stateOK atomic.Bool
 	stamp   atomic.Uint64 // of the leader that it follows
 	workers atomic.Int32
+	// version is its own and what it knows of the others'; nil: older than this
+	// one, or not heard yet.
+	version atomic.Pointer[versions]
 }
 
 // stateHealth remembers how the last direct calls to the state service went.
@@ -113,11 +116,12 @@
 	Stamp   ids.Stamp       `cbor:"5,keyasint"`
 	StateOK bool            `cbor:"6,keyasint"`
 	Workers int             `cbor:"7,keyasint"`
+	versions
 }
 
 func (n *Node) ping() ping {
 	l, _ := n.election.Leader()
-	return ping{n.cfg.HostName, l.Name, l.Mesh, l.Incarnation, l.Stamp, n.stateOK(), int(n.workersHere.Load())}
+	return ping{n.cfg.HostName, l.Name, l.Mesh, l.Incarnation, l.Stamp, n.stateOK(), int(n.workersHere.Load()), n.versions()}
 }
 
 func (n *Node) pinged(p ping) {
@@ -139,6 +143,7 @@
 			p.stateOK.Store(ans.StateOK)
 			p.stamp.Store(uint64(ans.Stamp))
 			p.workers.Store(int32(ans.Workers))
+			p.heardVersion(ans)
 			n.pinged(ans)
 		} else {
 			p.Close()
--- a/node/service.go
+++ b/node/service.go
@@ -80,6 +80,23 @@
 	}
 	rec := ledger.Job{Nonce: rand.Uint64(), Status: wire.StatusQueued, Tasks: spec.Tasks, Spec: spec,
 		SubmittedMS: time.Now().UnixMilli()}
+	if len(spec.Needs) > 0 {
+		doomed, a := n.judgeNeeds(ctx, id, spec.Needs)
+		if a.Code != 0 {
+			return a
+		}
+		if doomed {
+			rec.Status = wire.StatusWithdrawn
+		}
+	}
+	// With room for what a withdrawal changes. A list that is too long to be kept
+	// is refused whole.
+	if wire.Exceeds(rec, n.valueBytes()-recordSlack) {
+		if a := n.Status(ctx, id); a.Code != 404 {
+			return a
+		}
+		return server.Answer{Code: 422}
+	}
 	out, err := n.commit(ctx, ledger.SubmitChange(id, rec))
 	if err != nil {
 		n.log.Debug("submission not taken", "job", id, "err", err)
@@ -87,11 +104,46 @@
 	}
 	if out.Applied {
 		n.announce(id, &rec, out.Stamp)
-		return server.Answer{Code: 201, Body: wire.JobStatus{ID: id, Status: wire.StatusQueued}}
+		return server.Answer{Code: 201, Body: wire.JobStatus{ID: id, Status: rec.Status}}
+	}
+	if out.Refused {
+		return server.Later(refusedLater)
 	}
 	return n.Status(ctx, id)
 }
 
+const (
+	// recordSlack is by how much rewriting a job's record may lengthen it.
+	recordSlack = 64
+	// refusedLater is when to come back with what the state service would not
+	// take although it keeps to all its limits that are known.
+	refusedLater = 5 * time.Second
+)
+
+// judgeNeeds decides on a submission that names other jobs: the answer, or that it
+// may be accepted (code 0), and whether it is then withdrawn at once. What has been
+// accepted before is answered from its record, whatever it names. That a named job
+// was never accepted is said only on the strength of a copy that is as new as the
+// question.
+func (n *Node) judgeNeeds(ctx context.Context, id ids.JobID, needs []ids.JobID) (doomed bool, _ server.Answer) {
+	ctx, cancel := context.WithTimeout(ctx, pollTime)
+	defer cancel()
+	a := n.polls.ask(ctx, id, needs)
+	switch {
+	case a.err != nil:
+		n.log.Debug("named jobs not read", "job", id, "err", a.err)
+		return false, server.Later(retrySoon)
+	case a.found:
+		return false, n.told(id, a)
+	case !a.accepted:
+		return false, server.Answer{Code: 422}
+	case !n.upgrade.done():
+		// An older leader would not wait for them.
+		return false, server.Later(retrySoon)
+	}
+	return a.doomed, server.Answer{}
+}
+
 // commit brings one user's change to its outcome, or to an error after which
 // the user must ask again.
 func (n *Node) commit(ctx context.Context, ch ledger.Change) (ledger.Outcome, error) {
@@ -118,7 +170,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTime)
 	defer cancel()
-	a := n.polls.ask(ctx, id)
+	a := n.polls.ask(ctx, id, nil)
 	if a.err != nil {
 		n.log.Debug("job not read", "job", id, "err", a.err)
 		return server.Later(retrySoon)
@@ -126,6 +178,11 @@
 	if !a.found {
 		return server.Answer{Code: 404}
 	}
+	return n.told(id, a)
+}
+
+// told is the answer about a job that was found.
+func (n *Node) told(id ids.JobID, a pollAnswer) server.Answer {
 	if a.job.over() {
 		return server.Answer{Code: 200, Body: n.over(id, a.job)}
 	}
@@ -210,10 +267,13 @@
 		if rec.Over() {
 			return server.Answer{Code: 200, Body: n.over(id, known{rec.Status, rec.Tasks})}
 		}
-		out, err := n.commit(ctx, ledger.WithdrawChange(id, stamp, rand.Uint64(), *rec))
+		out, err := n.commit(ctx, ledger.WithdrawChange(id, stamp, rand.Uint64(), *rec, n.valueBytes()))
 		if err != nil {
 			return server.Later(retrySoon)
 		}
+		if out.Refused {
+			return server.Later(refusedLater)
+		}
 		if out.Applied {
 			rec.Status = wire.StatusWithdrawn
 			n.announce(id, rec, out.Stamp)
@@ -321,6 +381,9 @@
 			return nil, err
 		}
 		n.pinged(p)
+		if from := n.peerNamed(p.From); from != nil {
+			from.heardVersion(p)
+		}
 		return n.ping(), nil
 	case "state":
 		var c stateCall
--- a/node/term.go
+++ b/node/term.go
@@ -83,7 +83,9 @@
 		Cancel:       ids.Seconds(s.Workers.CancelS),
 		Grace:        op.Grace(),
 		ListLag:      ids.Seconds(s.Cloud.ListLagS),
-		TxnOps:       s.State.TxnOps,
+		TxnOps:       n.limits().Ops,
+		ValueBytes:   n.valueBytes(),
+		Split:        n.upgrade.done(),
 		SliceTasks:   op.Quota.SliceTasks,
 		PassOver:     op.Quota.PassOver,
 		ReclaimHold:  ids.Seconds(op.Quota.ReclaimHoldS),
@@ -100,7 +102,7 @@
 		PassEvery:    passEvery,
 		PassCost:     time.Duration(float64(passCost) / s.Resources.CPUShare),
 		LazySave:     lazySave,
-		WriteRate:    0.7 * s.State.WriteRPS,
+		WriteRate:    0.7 * s.State.Planned().WriteRPS,
 		MaxDirect:    min(mostCalls, max(8, s.Resources.Sockets/16)),
 	}
 	for _, t := range s.Teams {
@@ -139,6 +141,9 @@
 		return fmt.Errorf("taking over: %w", err)
 	}
 	n.term.Store(t)
+	if n.upgrade.done() { // perhaps only since the records were read
+		t.core.AllNew(n.clock.Now())
+	}
 	defer n.term.CompareAndSwap(t, nil)
 	n.log.Info("records read", "stamp", key.Stamp, "state", t.core.Summary())
 	g.Go(func() error { return t.ledger.Run(t.ctx) })
@@ -166,6 +171,9 @@
 		}
 		types = n.catalog.Load()
 	}
+	if err := n.readUpgrade(t.ctx, n.leaderState); err != nil {
+		return 0, err
+	}
 	_, before, err := n.leaderState.Get(t.ctx, ledger.FleetKey)
 	if err != nil {
 		return 0, err
--- /dev/null
+++ b/node/upgrade.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/statestore"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// This file is all there is of compatibility with controllers that know nothing of
+// waiting and of split records: until each of them is known to have been replaced,
+// no job that names others is accepted and no record is split. Everything else is
+// written as they write and read it. The file can go, with scheduler's AllNew and
+// Options.Split, once no deployment is left whose state lacks ledger.FormatKey; what
+// asks done() then takes it for true.
+
+// formatNew is the version of the records that this program writes once it may. A
+// controller that tells no version, or a lower one, is older.
+const formatNew = 2
+
+// versions is what a ping tells of versions. Older controllers pass over it, and
+// theirs lacks it.
+type versions struct {
+	Format int `cbor:"8,keyasint,omitempty"`
+	// Seen names the controllers whose own pings told formatNew or more: two that
+	// cannot reach each other learn of each other from a third.
+	Seen []ids.NodeName `cbor:"9,keyasint,omitempty"`
+	// Durable tells that ledger.FormatKey is known to be written.
+	Durable bool `cbor:"10,keyasint,omitempty"`
+}
+
+// heardVersion notes what a peer's latest ping told.
+func (p *peer) heardVersion(ans ping) {
+	if ans.Format < formatNew {
+		p.version.Store(nil)
+		return
+	}
+	v := ans.versions
+	p.version.Store(&v)
+}
+
+// upgrade remembers that every controller is known to be of this version. It never
+// goes back.
+type upgrade struct{ durable atomic.Bool }
+
+func (u *upgrade) done() bool { return u.durable.Load() }
+
+func (n *Node) versions() versions {
+	v := versions{Format: formatNew, Durable: n.upgrade.done()}
+	if v.Durable {
+		return v
+	}
+	for _, p := range n.peers {
+		if p.version.Load() != nil {
+			v.Seen = append(v.Seen, p.Name)
+		}
+	}
+	return v
+}
+
+// allNew tells what the peers' pings show: that all controllers are new, or that
+// somebody has written so.
+func (n *Node) allNew() (all, durable bool) {
+	all = true
+	for _, p := range n.peers {
+		known := p.version.Load() != nil
+		for _, q := range n.peers {
+			v := q.version.Load()
+			durable = durable || v != nil && v.Durable
+			known = known || v != nil && slices.Contains(v.Seen, p.Name)
+		}
+		all = all && known
+	}
+	return all, durable
+}
+
+const (
+	upgradeLook = 500 * time.Millisecond
+	// upgradeRead is how often the state service is asked meanwhile.
+	upgradeRead = 10 * time.Second
+)
+
+// awaitUpgrade waits until every controller is known to be new, makes that durable,
+// so that a successor need not learn it again, and tells the leader's core.
+func (n *Node) awaitUpgrade(ctx context.Context) error {
+	var readAt ids.Instant
+	for !n.upgrade.done() {
+		all, durable := n.allNew()
+		now := n.clock.Now()
+		var err error
+		switch {
+		case durable:
+			n.upgrade.durable.Store(true)
+			continue
+		case all:
+			_, err = n.userState.Commit(ctx, statestore.Txn{
+				Guards: []statestore.Guard{{Key: ledger.FormatKey}},
+				Apply:  []statestore.Op{{Write: ledger.FormatKey, Value: map[string]int{"v": formatNew}}},
+			})
+			if err == nil { // written now, or there already
+				n.upgrade.durable.Store(true)
+				continue
+			}
+		case now >= readAt:
+			readAt = now.Add(upgradeRead)
+			err = n.readUpgrade(ctx, n.userState)
+		}
+		if err != nil {
+			n.log.Debug("upgrade not settled", "err", err)
+		}
+		if !ids.Pause(ctx, upgradeLook) {
+			return ctx.Err()
+		}
+	}
+	n.log.Info("all controllers are of this version")
+	if t := n.term.Load(); t != nil {
+		t.post(ctx, func() { t.core.AllNew(n.clock.Now()) })
+	}
+	return nil
+}
+
+// readUpgrade looks in the state service whether it is known already.
+func (n *Node) readUpgrade(ctx context.Context, state *statestore.Client) error {
+	if n.upgrade.done() {
+		return nil
+	}
+	e, found, err := state.Get(ctx, ledger.FormatKey)
+	if err != nil || !found {
+		return err
+	}
+	var rec struct {
+		Format int `msgpack:"v"`
+	}
+	if err := wire.Decode(e.Value, &rec); err == nil && rec.Format >= formatNew {
+		n.upgrade.durable.Store(true)
+	}
+	return nil
+}
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -26,14 +26,14 @@
 func (c *Core) waiting() []*job {
 	var out []*job
 	for _, j := range c.jobs {
-		if !j.over() && !j.setAside && len(j.pending) > 0 && c.now >= j.retryAt {
+		if j.ready && !j.over() && !j.setAside && len(j.pending) > 0 && c.now >= j.retryAt {
 			out = append(out, j)
 		}
 	}
 	sort.Slice(out, func(i, k int) bool {
 		a, b := out[i], out[k]
-		if a.spec.Priority != b.spec.Priority {
-			return a.spec.Priority > b.spec.Priority
+		if a.prio != b.prio {
+			return a.prio > b.prio
 		}
 		if x, y := c.mustBegin(a), c.mustBegin(b); x != y {
 			return x
@@ -74,7 +74,7 @@
 		// found none must not keep the job from it.
 		return shape{}, false
 	}
-	sh = shape{res: placement.Of(s), prio: s.Priority, spot: s.Spot, zone: s.Zone}
+	sh = shape{res: placement.Of(s), prio: j.prio, spot: s.Spot, zone: s.Zone}
 	if c.hasty(j) && !j.coldOK {
 		sh.image = s.Image
 	}
@@ -132,7 +132,7 @@
 				continue
 			}
 			if nominal {
-				j.deferred = j.spec.Priority < borrower[j.spec.Team]
+				j.deferred = j.prio < borrower[j.spec.Team]
 				if j.deferred {
 					continue
 				}
@@ -146,7 +146,7 @@
 				}
 			}
 			if nominal && c.mustBorrow(j) {
-				borrower[j.spec.Team] = max(borrower[j.spec.Team], j.spec.Priority)
+				borrower[j.spec.Team] = max(borrower[j.spec.Team], j.prio)
 			}
 			if tried && len(j.pending) > 0 {
 				if passed++; passed > c.opt.PassOver {
@@ -428,7 +428,7 @@
 		if !s.need.Within(m.free()) || !placement.Allowed(j.spec, m.Site) || j.only != "" && m.Zone != j.only {
 			continue
 		}
-		if k := m.keptFor; k != nil && k != j && k.spec.Priority >= j.spec.Priority {
+		if k := m.keptFor; k != nil && k != j && k.prio >= j.prio {
 			continue // it would never begin
 		}
 		if hasty && m.images[j.spec.Image] == nil {
@@ -626,7 +626,7 @@
 
 // note keeps the count of tasks on machines.
 func (c *Core) note(a *assignment, staying, leaving int) {
-	w := work{a.job.spec.Team, a.job.spec.Priority}
+	w := work{a.job.spec.Team, a.job.prio}
 	on := c.on[w]
 	on.staying += staying
 	on.leaving += leaving
@@ -702,7 +702,7 @@
 		return claimNominal
 	case r.c.book.FitsBorrowing(j.spec.Team, m, r.c.now):
 		return claimBorrow
-	case j.spec.Priority > wire.BestEffort:
+	case j.prio > wire.BestEffort:
 		return claimOwn
 	}
 	return claimNone
@@ -725,7 +725,7 @@
 // guarantee go before borrowers of any priority. Were borrowers to stop them
 // for their priority, the two would take each other's room for ever.
 func mayStop(j *job, by claim, team ids.Team, prio wire.Priority) (free, asBorrower bool) {
-	own, lower := team == j.spec.Team, prio < j.spec.Priority
+	own, lower := team == j.spec.Team, prio < j.prio
 	free = lower && (own || by == claimNominal)
 	asBorrower = !own && (by == claimNominal || by == claimBorrow && lower)
 	return free, asBorrower
@@ -893,7 +893,7 @@
 	var taken map[ids.Team]quota.Amount // of borrowers
 	for _, v := range r.losses(m) {
 		s := v.a.job.spec
-		free, asBorrower := mayStop(j, by, s.Team, s.Priority)
+		free, asBorrower := mayStop(j, by, s.Team, v.a.job.prio)
 		if !free && !asBorrower || r.stopped[v.a] || v.a.stop != stopNone {
 			continue
 		}
@@ -931,7 +931,7 @@
 	// What was restarted before holds up its job, which ends with its last
 	// task: it is stopped after others.
 	loss := (lost + 2) * s.CPUs * float64(a.attempt)
-	for range int(s.Priority) {
+	for range int(a.job.prio) {
 		loss *= 3
 	}
 	if s.Service {
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -276,7 +276,7 @@
 func (c *Core) notePeaks() {
 	count := map[string]int{}
 	for _, j := range c.jobs {
-		if j.over() {
+		if j.over() || !j.ready {
 			continue
 		}
 		count[j.spec.Class] += len(j.active) + len(j.pending)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -15,6 +15,7 @@
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/pipeline"
 	"ospreystile.example/ospreystile/scheduler/fleet"
 	"ospreystile.example/ospreystile/scheduler/placement"
 	"ospreystile.example/ospreystile/scheduler/quota"
@@ -35,8 +36,13 @@
 	// gone on answering workers after this term began.
 	Grace   time.Duration
 	ListLag time.Duration
-	// TxnOps bounds the writes of one change.
+	// TxnOps bounds the writes of one change, and ValueBytes each value, in
+	// its JSON form; 0: no bound.
 	TxnOps     int
+	ValueBytes int
+	// Split tells that every controller can read a slice that was split; see
+	// AllNew.
+	Split      bool
 	SliceTasks int
 	PassOver   int
 	// Impatient names the classes whose tasks must start sooner than a
@@ -85,6 +91,7 @@
 	attempt ids.Attempt
 	state   taskState
 	a       *assignment
+	in      *slice // whose record it belongs to
 }
 
 type stopReason uint8
@@ -137,20 +144,31 @@
 	dirtyAt  ids.Instant
 	urgent   bool // holds placements that are not recorded
 	inflight bool
+	tasks    []int // ascending
+	// large: its record is beyond ValueBytes and was written all the same,
+	// since older controllers could not read it in parts.
+	large bool
 }
 
 type job struct {
-	id      ids.JobID
-	spec    *wire.Spec
-	stamp   ids.Stamp
-	at      int64
-	status  string
-	tasks   []task
-	slices  []*slice
-	pending []int // descending, so that the lowest is popped first
-	done    int
-	active  map[int]*assignment
-	zones   placement.Zones
+	id     ids.JobID
+	spec   *wire.Spec
+	stamp  ids.Stamp
+	at     int64 // when it was ready to run, as the time of day; jobs go by it
+	status string
+	// prio is the job's own priority or that of one that needs it, ready tells
+	// that all that it needs is done, and unwritten that it is withdrawn with
+	// a job that it needs, but its own record does not say so yet.
+	prio      wire.Priority
+	ready     bool
+	unwritten bool
+	refusals  int // changes in a row that the state service would not take
+	tasks     []task
+	slices    []*slice
+	pending   []int // descending, so that the lowest is popped first
+	done      int
+	active    map[int]*assignment
+	zones     placement.Zones
 	// finishing: the commit of done is on its way.
 	finishing bool
 	stopAt    ids.Instant
@@ -159,7 +177,7 @@
 	backoff   time.Duration
 	deferred  bool     // goes with the borrowers, behind higher work of its team
 	only      ids.Zone // while a zone is tried for a job that needs one
-	// begun: one of its tasks was placed once. came is when it was submitted,
+	// begun: one of its tasks was placed once. came is when it was ready to run,
 	// waits since when it could not begin, keptSince since when room is kept.
 	begun     bool
 	setAside  bool // see SetAside
@@ -184,10 +202,16 @@
 }
 
 type pendingChange struct {
-	job     *job
-	slice   *slice
+	job   *job
+	slice *slice
+	// parts are the slices that come of a split, slice first, and split the
+	// tasks of each; nil if there is none.
+	parts   []*slice
+	split   [][]int
 	placed  []*assignment
 	finish  bool
+	doneMS  int64
+	orphan  bool // the job is withdrawn with one that it needs
 	dropped []*slice
 }
 
@@ -202,7 +226,7 @@
 	types       map[ids.MachineType]*wire.MachineType
 	typeList    []wire.MachineType
 	jobs        map[ids.JobID]*job // all that are not over, and withdrawn ones with tasks
-	ended       map[ids.JobID]string
+	graph       *pipeline.Graph    // all jobs, and who waits for whom
 	machines    map[ids.Host]*machine
 	order       []*machine // machines by host
 	gone        map[ids.Host]bool
@@ -235,6 +259,7 @@
 	dirty      map[*slice]*job
 	finishable map[*job]bool
 	withdrawn  map[*job]bool
+	orphans    map[*job]bool // unwritten ones whose change is not on its way
 
 	lastFleet   ids.Instant
 	nextBooking int
@@ -283,7 +308,7 @@
 	c := &Core{
 		opt:        opt,
 		jobs:       map[ids.JobID]*job{},
-		ended:      map[ids.JobID]string{},
+		graph:      pipeline.New(),
 		machines:   map[ids.Host]*machine{},
 		gone:       map[ids.Host]bool{},
 		from:       map[ids.Zone]*zoneState{},
@@ -294,6 +319,7 @@
 		dirty:      map[*slice]*job{},
 		finishable: map[*job]bool{},
 		withdrawn:  map[*job]bool{},
+		orphans:    map[*job]bool{},
 		renting:    map[placement.Site]int{},
 		bookings:   map[placement.Site]int{},
 		peaks:      map[string]*peak{},
@@ -332,21 +358,39 @@
 	if j.spec == nil {
 		j.spec = &wire.Spec{Tasks: rec.Tasks}
 	}
+	j.prio = j.spec.Priority
 	j.tasks = make([]task, j.spec.Tasks)
 	per := c.opt.SliceTasks
-	j.slices = make([]*slice, (len(j.tasks)+per-1)/per)
-	for n := range j.slices {
-		j.slices[n] = &slice{n: n}
+	j.grow((len(j.tasks) + per - 1) / per)
+	for i := range j.tasks {
+		j.tasks[i].in = j.slices[i/per]
 	}
+	j.relist()
 	return j
 }
 
+// grow makes room for slices with numbers below n.
+func (j *job) grow(n int) {
+	for len(j.slices) < n {
+		j.slices = append(j.slices, &slice{n: len(j.slices)})
+	}
+}
+
+// relist lists the tasks of each slice anew.
+func (j *job) relist() {
+	for _, s := range j.slices {
+		s.tasks = s.tasks[:0]
+	}
+	for i := range j.tasks {
+		s := j.tasks[i].in
+		s.tasks = append(s.tasks, i)
+	}
+}
+
 // LoadJob takes a job's record at the start of the term. Jobs come before
 // slices.
 func (c *Core) LoadJob(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) {
-	if rec.Over() {
-		c.ended[id] = rec.Status
-	}
+	c.graph.Put(id, rec.Pipeline())
 	if rec.Status == wire.StatusDone || rec.Spec == nil {
 		return
 	}
@@ -361,20 +405,23 @@
 		j = c.newJob(id, &ledger.Job{Status: wire.StatusDone}, 0)
 		c.jobs[id] = j
 	}
-	for len(j.slices) <= n && j.over() {
-		j.slices = append(j.slices, &slice{n: len(j.slices)})
-	}
-	if n >= len(j.slices) {
+	// Splits make a slice for each task at most, beside those there are, and leave
+	// out numbers that were not used.
+	if !j.over() && n >= len(j.slices)+2*len(j.tasks) {
 		return fmt.Errorf("admission record %s/%d lies outside its job", id, n)
 	}
-	j.slices[n].stamp = stamp
+	j.grow(n + 1)
+	s := j.slices[n]
+	s.stamp = stamp
 	if j.status == wire.StatusDone {
 		return nil
 	}
+	s.large = wire.Exceeds(rec, c.opt.ValueBytes)
 	for _, i := range rec.Done {
 		if i < 0 || i >= len(j.tasks) {
 			return fmt.Errorf("admission record %s/%d names task %d", id, n, i)
 		}
+		j.tasks[i].in = s
 		if j.tasks[i].state != taskDone {
 			j.tasks[i].state = taskDone
 			j.done++
@@ -386,7 +433,7 @@
 			return fmt.Errorf("admission record %s/%d names task %d on place %d", id, n, i, h)
 		}
 		t := &j.tasks[i]
-		t.attempt = attempt
+		t.attempt, t.in = attempt, s
 		if h < 0 || t.state == taskDone {
 			continue
 		}
@@ -419,12 +466,17 @@
 	c.lastFleet = now
 	c.lastWrites = now
 	for _, j := range c.jobs {
+		j.relist()
+		c.follow(j)
 		j.came = now
 		if c.opt.WallMS > 0 {
 			age := time.Duration(c.opt.WallMS-j.at) * time.Millisecond
 			j.came = now.Add(-min(max(age, 0), time.Hour))
 		}
 		j.waits = j.came
+		for _, s := range j.slices {
+			c.markLarge(j, s)
+		}
 		switch j.status {
 		case wire.StatusQueued:
 			c.refill(j)
@@ -518,10 +570,93 @@
 	c.touch(j, a.index, false)
 }
 
+// heed takes a record into the graph and does what follows for any job.
+func (c *Core) heed(id ids.JobID, rec *ledger.Job) {
+	for _, other := range c.graph.Put(id, rec.Pipeline()) {
+		if j := c.jobs[other]; j != nil {
+			c.follow(j)
+		}
+	}
+}
+
+// follow brings a job in line with the graph: its priority, whether it may run,
+// and whether it is withdrawn because one that it needs is. Such a job never had
+// a task, and nobody answers otherwise any more; its own record says so when there
+// is time.
+func (c *Core) follow(j *job) {
+	if j.over() {
+		return
+	}
+	s := c.graph.Of(j.id)
+	c.setPriority(j, s.Priority)
+	switch {
+	case s.State == pipeline.Withdrawn:
+		j.status, j.unwritten = wire.StatusWithdrawn, true
+		c.orphans[j] = true
+		c.beginStop(j)
+	case s.State == pipeline.Ready && !j.ready:
+		j.ready, j.at = true, s.ReadyMS
+		j.came, j.waits = c.now, c.now
+		c.arrived(j.spec)
+		c.changed = true
+	}
+}
+
+// setPriority changes what a job counts as, with its tasks on machines.
+func (c *Core) setPriority(j *job, p wire.Priority) {
+	if p == j.prio {
+		return
+	}
+	count := func(n int) {
+		for _, a := range j.active {
+			if a.stop == stopNone {
+				c.note(a, n, 0)
+			} else {
+				c.note(a, 0, n)
+			}
+		}
+	}
+	count(-1)
+	j.prio = p
+	count(1)
+	c.changed = true
+}
+
+// wallMS is the time of day, as far as it is known.
+func (c *Core) wallMS() int64 {
+	if c.opt.WallMS == 0 {
+		return 0
+	}
+	return c.opt.WallMS + c.now.Sub(c.started).Milliseconds()
+}
+
+// AllNew tells that every controller can read slices that were split. Records
+// beyond what the state service may take at any moment are split from now on.
+func (c *Core) AllNew(now ids.Instant) {
+	c.now = now
+	if c.opt.Split {
+		return
+	}
+	c.opt.Split = true
+	for _, j := range c.jobs {
+		for _, s := range j.slices {
+			c.markLarge(j, s)
+		}
+	}
+}
+
+// markLarge sees that a record which is too large is written again, in parts.
+func (c *Core) markLarge(j *job, s *slice) {
+	if c.opt.Split && s.large && !j.over() {
+		c.soil(j, s, false)
+	}
+}
+
 // touch notes that a task's record must be written: at once for a placement,
 // else when there is time.
-func (c *Core) touch(j *job, index int, urgent bool) {
-	s := j.slices[index/c.opt.SliceTasks]
+func (c *Core) touch(j *job, index int, urgent bool) { c.soil(j, j.tasks[index].in, urgent) }
+
+func (c *Core) soil(j *job, s *slice, urgent bool) {
 	if !s.dirty {
 		s.dirty, s.dirtyAt = true, c.now
 	}
@@ -558,27 +693,34 @@
 	if j != nil && stamp <= j.stamp {
 		return
 	}
-	if rec.Over() {
-		c.ended[id] = rec.Status
-	}
 	if j == nil {
-		if rec.Over() {
+		if s := c.graph.Of(id).State; rec.Over() || s == pipeline.Done || s == pipeline.Withdrawn {
+			c.heed(id, rec) // or an older record, delivered late
 			return
 		}
-		if _, over := c.ended[id]; over {
-			return // an older record, delivered late
-		}
 		j = c.newJob(id, rec, stamp)
 		c.jobs[id] = j
 		c.refill(j)
-		c.arrived(j.spec)
-		c.changed = true
+		c.heed(id, rec)
 		return
 	}
 	j.stamp = stamp
-	if rec.Over() && !j.over() {
-		j.status = rec.Status
-		c.beginStop(j)
+	if rec.Over() {
+		if !j.over() {
+			j.status = rec.Status
+			c.beginStop(j)
+		}
+		c.written(j)
+		c.heed(id, rec)
+	}
+}
+
+// written notes that a job's own record says that it is over.
+func (c *Core) written(j *job) {
+	if j.unwritten {
+		j.unwritten = false
+		delete(c.orphans, j)
+		c.withdrawn[j] = true
 	}
 }
 
@@ -662,20 +804,30 @@
 		s.inflight = false
 	}
 	if !o.Applied {
-		c.refused(p, o.Failed)
+		if o.Refused {
+			c.putOff(p)
+		} else {
+			c.refused(p, o.Failed)
+		}
 		return
 	}
+	j.refusals = 0
 	switch {
+	case p.orphan:
+		j.stamp = o.Stamp
+		c.written(j)
 	case p.finish:
 		j.finishing = false
 		j.status, j.stamp = wire.StatusDone, o.Stamp
-		c.ended[j.id] = wire.StatusDone
+		// Only now may those that need it start: a successor would find it done.
+		c.heed(j.id, &ledger.Job{Status: wire.StatusDone, DoneMS: p.doneMS})
 		for _, s := range p.dropped {
 			s.stamp = 0
 		}
 		c.withdrawn[j] = true
 	case p.slice != nil:
 		p.slice.stamp = o.Stamp
+		c.divide(p, o.Stamp)
 		for _, a := range p.placed {
 			a.recorded, a.saving = true, false
 			c.heat(a.m)
@@ -700,27 +852,81 @@
 func (c *Core) refused(p *pendingChange, failed []string) {
 	j := p.job
 	j.finishing = false
+	if p.orphan && len(failed) == 1 {
+		// Its user withdrew it too; the record is on its way.
+		if j.unwritten {
+			c.orphans[j] = true
+		}
+		c.refresh(j, 500*time.Millisecond)
+		return
+	}
 	if len(failed) != 1 || failed[0] != ledger.JobKey(j.id) || j.stamp == 0 {
 		c.broken = fmt.Errorf("records of %s moved without this leader: %v", j.id, failed)
 		return
 	}
+	c.undo(p)
+	if !j.over() {
+		c.refresh(j, 500*time.Millisecond)
+	}
+}
+
+// refresh has a job's record read again, and nothing written for it meanwhile.
+func (c *Core) refresh(j *job, wait time.Duration) {
+	j.refreshAt = c.now.Add(wait)
+	c.out.Refresh = append(c.out.Refresh, j.id)
+}
+
+// undo takes back what a change that was not applied would have recorded.
+func (c *Core) undo(p *pendingChange) {
+	j := p.job
 	for _, a := range p.placed {
 		a.saving = false
 		if a.m.tasks[a.ref()] == a {
 			c.release(a)
 		}
 	}
-	if !j.over() {
-		if p.finish {
-			c.finishable[j] = true
-		} else if p.slice != nil {
-			p.slice.dirty, p.slice.urgent = true, true
-			c.dirty[p.slice] = j
-		}
-		j.refreshAt = c.now.Add(500 * time.Millisecond)
-		c.out.Refresh = append(c.out.Refresh, j.id)
-	} else {
+	switch {
+	case j.over():
 		c.withdrawn[j] = true
+	case p.finish:
+		c.finishable[j] = true
+	case p.slice != nil:
+		p.slice.dirty, p.slice.urgent = true, true
+		c.dirty[p.slice] = j
+	}
+}
+
+// mostRefusals is how often a change of one job may be refused for its size.
+const mostRefusals = 8
+
+// putOff handles a change that the state service would not take at all, as when
+// its limits are lower than it said. The same would be refused again: the job's
+// next change is half as large and comes later, and after a few of them the job is
+// set aside. Others go on meanwhile.
+func (c *Core) putOff(p *pendingChange) {
+	j := p.job
+	j.finishing = false
+	c.undo(p)
+	if p.orphan {
+		c.orphans[j] = true
+	}
+	j.refusals++
+	wait := min(time.Minute, time.Second<<min(j.refusals, mostRefusals))
+	j.refreshAt, j.retryAt = c.now.Add(wait), c.now.Add(wait)
+	j.setAside = j.setAside || j.refusals >= mostRefusals
+}
+
+// divide makes the slices of a split that is recorded. What happened to their
+// tasks since belongs to the parts.
+func (c *Core) divide(p *pendingChange, stamp ids.Stamp) {
+	for k, part := range p.parts {
+		part.stamp, part.tasks = stamp, p.split[k]
+		for _, i := range part.tasks {
+			p.job.tasks[i].in = part
+		}
+		if p.slice.dirty {
+			c.soil(p.job, part, p.slice.urgent)
+		}
 	}
 }
 
@@ -785,6 +991,12 @@
 		}
 		c.finish(j)
 	}
+	for _, j := range sortedJobs(c.orphans) {
+		if !c.mayWrite() {
+			return
+		}
+		c.withdrawOrphan(j)
+	}
 	for _, j := range sortedJobs(c.withdrawn) {
 		if !c.mayWrite() {
 			return
@@ -803,7 +1015,7 @@
 	}
 	var items []item
 	for s, j := range c.dirty {
-		if s.inflight || j.over() || j.finishing || c.finishable[j] || c.now < j.refreshAt {
+		if s.inflight || j.over() || j.finishing || c.finishable[j] || c.now < j.refreshAt || j.refusals >= mostRefusals {
 			continue
 		}
 		if s.urgent != urgent || !urgent && c.now < s.dirtyAt.Add(c.opt.LazySave) {
@@ -813,8 +1025,8 @@
 	}
 	sort.Slice(items, func(i, k int) bool {
 		a, b := items[i], items[k]
-		if a.j.spec.Priority != b.j.spec.Priority {
-			return a.j.spec.Priority > b.j.spec.Priority
+		if a.j.prio != b.j.prio {
+			return a.j.prio > b.j.prio
 		}
 		if a.j.id != b.j.id {
 			return a.j.id < b.j.id
@@ -846,11 +1058,53 @@
 	delete(c.dirty, s)
 	s.dirty, s.urgent, s.inflight = false, false, true
 	p := &pendingChange{job: j, slice: s}
+	for _, i := range s.tasks {
+		if a := j.tasks[i].a; a != nil && !a.recorded {
+			a.saving = true
+			p.placed = append(p.placed, a)
+		}
+	}
+	at := []ledger.SliceVersion{{N: s.n, Stamp: s.stamp}}
+	recs := []ledger.Slice{c.sliceRecord(j, s.tasks)}
+	limit := c.opt.ValueBytes >> j.refusals
+	s.large = wire.Exceeds(recs[0], limit)
+	if s.large && c.opt.Split {
+		s.large = false
+		p.split, recs = c.cut(j, s.tasks, limit)
+		p.parts = []*slice{s}
+		for range recs[1:] {
+			j.grow(len(j.slices) + 1)
+			part := j.slices[len(j.slices)-1]
+			p.parts = append(p.parts, part)
+			at = append(at, ledger.SliceVersion{N: part.n})
+		}
+	}
+	c.submit(p, ledger.SliceChange(j.id, j.stamp, at, recs))
+}
+
+// cut divides the tasks of a record that is too large into parts whose records are
+// not, no more than one change may write.
+func (c *Core) cut(j *job, tasks []int, limit int) (parts [][]int, recs []ledger.Slice) {
+	parts = [][]int{tasks}
+	for k := 0; k < len(parts); {
+		list := parts[k]
+		rec := c.sliceRecord(j, list)
+		if len(list) < 2 || len(parts) >= c.opt.TxnOps || !wire.Exceeds(rec, limit) {
+			recs = append(recs, rec)
+			k++
+			continue
+		}
+		half := len(list) / 2
+		parts = slices.Replace(parts, k, k+1, slices.Clone(list[:half]), slices.Clone(list[half:]))
+	}
+	return parts, recs
+}
+
+// sliceRecord is the record of some of a job's tasks.
+func (c *Core) sliceRecord(j *job, tasks []int) ledger.Slice {
 	rec := ledger.Slice{Nonce: c.nonce()}
 	place := map[ids.Host]int{}
-	lo := s.n * c.opt.SliceTasks
-	hi := min(lo+c.opt.SliceTasks, len(j.tasks))
-	for i := lo; i < hi; i++ {
+	for _, i := range tasks {
 		t := &j.tasks[i]
 		if t.state == taskDone {
 			rec.Done = append(rec.Done, i)
@@ -869,14 +1123,21 @@
 				rec.Zones = append(rec.Zones, t.a.m.Zone)
 			}
 			at = h
-			if !t.a.recorded {
-				t.a.saving = true
-				p.placed = append(p.placed, t.a)
-			}
 		}
 		rec.Tasks = append(rec.Tasks, i, int(t.attempt), at)
 	}
-	c.submit(p, ledger.SliceChange(j.id, j.stamp, s.n, s.stamp, rec))
+	return rec
+}
+
+// withdrawOrphan writes that a job is withdrawn with one that it needs. It never
+// had a task, so nothing else of it has to be kept.
+func (c *Core) withdrawOrphan(j *job) {
+	if c.now < j.refreshAt {
+		return
+	}
+	delete(c.orphans, j)
+	rec := ledger.Job{Tasks: len(j.tasks), SubmittedMS: j.at}
+	c.submit(&pendingChange{job: j, orphan: true}, ledger.WithdrawChange(j.id, j.stamp, c.nonce(), rec, 0))
 }
 
 // finish commits that a job is done, and drops what records it can in the
@@ -892,34 +1153,41 @@
 	}
 	delete(c.finishable, j)
 	j.finishing = true
-	p := &pendingChange{job: j, finish: true}
+	p := &pendingChange{job: j, finish: true, doneMS: c.wallMS()}
+	// The rest of the records is dropped later, and less at once where a change
+	// was refused.
+	most := c.opt.TxnOps>>j.refusals - 2
 	var drops []ledger.SliceVersion
 	for _, s := range j.slices {
 		delete(c.dirty, s)
 		s.dirty = false
-		if s.stamp != 0 && len(drops) < c.opt.TxnOps-2 {
+		if s.stamp != 0 && len(drops) < most {
 			s.inflight = true
 			p.dropped = append(p.dropped, s)
 			drops = append(drops, ledger.SliceVersion{N: s.n, Stamp: s.stamp})
 		}
 	}
-	c.submit(p, ledger.DoneChange(j.id, j.stamp, c.nonce(), len(j.tasks), drops))
+	rec := ledger.Job{Nonce: c.nonce(), Tasks: len(j.tasks), DoneMS: p.doneMS}
+	c.submit(p, ledger.DoneChange(j.id, j.stamp, rec, drops))
 }
 
 // cleanUp drops the admission records of a job that is over, once none of its
 // tasks can be on a machine.
 func (c *Core) cleanUp(j *job) {
-	delete(c.withdrawn, j)
-	if !j.over() || len(j.active) > 0 {
+	if c.now < j.refreshAt {
 		return
 	}
+	delete(c.withdrawn, j)
+	if !j.over() || len(j.active) > 0 || j.unwritten {
+		return // comes again with what is missing
+	}
 	p := &pendingChange{job: j}
 	var drops []ledger.SliceVersion
 	for _, s := range j.slices {
 		if s.inflight {
 			return // comes again with the outcome
 		}
-		if s.stamp != 0 && len(drops) < c.opt.TxnOps-1 {
+		if s.stamp != 0 && len(drops) < max(1, c.opt.TxnOps>>j.refusals-1) {
 			p.dropped = append(p.dropped, s)
 			drops = append(drops, ledger.SliceVersion{N: s.n, Stamp: s.stamp})
 		}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -535,7 +535,7 @@
 	if j.finishing || c.finishable[j] || s.ref.Index >= len(j.tasks) {
 		return false
 	}
-	sl := j.slices[s.ref.Index/c.opt.SliceTasks]
+	sl := j.tasks[s.ref.Index].in
 	return !sl.dirty && !sl.inflight
 }
 
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -258,7 +258,7 @@
 	if rec.Over() {
 		return
 	}
-	c := ledger.WithdrawChange(id, s.store[key].stamp, s.rng.Uint64(), rec)
+	c := ledger.WithdrawChange(id, s.store[key].stamp, s.rng.Uint64(), rec, s.opt.ValueBytes)
 	s.commit(c.Guards, c.Apply)
 	s.withdrawn[id] = s.now
 	s.after(min(s.latency(), 3*time.Second), func() { s.seen(id) })
--- a/statestore/statestore.go
+++ b/statestore/statestore.go
@@ -26,6 +26,9 @@
 	ErrNoLease = errors.New("no such lease")
 	// ErrTooOld means that a watch must start again from a full read.
 	ErrTooOld = errors.New("watch revision too old")
+	// ErrRefused means that the service will not take the request as it is, for
+	// its size or form. The same again is refused again.
+	ErrRefused = errors.New("state service refused the request")
 	// ErrBadAnswer means that the service answered with something malformed.
 	ErrBadAnswer = errors.New("malformed answer from the state service")
 )
@@ -140,7 +143,7 @@
 		if wire.Decode(ans, &e) == nil && e.Error == "no such lease" {
 			return status, ErrNoLease
 		}
-		return status, fmt.Errorf("%w: %s %s refused as malformed: %s", ErrBadAnswer, method, path, e.Error)
+		return status, fmt.Errorf("%w: %s %s: %s", ErrRefused, method, path, e.Error)
 	}
 	return status, fmt.Errorf("%w: status %d", ErrUnknown, status)
 }
--- a/wire/spec.go
+++ b/wire/spec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"ospreystile.example/ospreystile/ids"
 )
@@ -43,6 +44,9 @@
 	SaveEvery float64           `msgpack:"ce,omitempty"`
 	SaveS     float64           `msgpack:"cs,omitempty"`
 	DeadlineS float64           `msgpack:"d,omitempty"`
+	// Needs names the jobs that must be done before any task of this one
+	// starts; each once.
+	Needs []ids.JobID `msgpack:"b,omitempty"`
 }
 
 // maxTasks is the protocol's largest job.
@@ -142,6 +146,16 @@
 	return true
 }
 
+// unique keeps the first of each name, in order.
+func unique[T comparable](list []T) []T {
+	seen := make(map[T]bool, len(list))
+	return slices.DeleteFunc(list, func(v T) bool {
+		again := seen[v]
+		seen[v] = true
+		return again
+	})
+}
+
 // ParseSubmission decodes and checks a submitted job.
 func ParseSubmission(body []byte) (ids.JobID, *Spec, error) {
 	if len(body) > MaxBody {
@@ -211,6 +225,22 @@
 	default:
 		f.fail("frames", "must be a list of names")
 	}
+	s.Types = unique(s.Types)
+	switch list := m["waitsOn"].(type) {
+	case nil:
+	case []any:
+		for _, v := range list {
+			name, _ := v.(string)
+			if !ValidID(ids.JobID(name)) {
+				f.fail("waitsOn", "must be a list of job ids")
+				break
+			}
+			s.Needs = append(s.Needs, ids.JobID(name))
+		}
+		s.Needs = unique(s.Needs)
+	default:
+		f.fail("waitsOn", "must be a list of job ids")
+	}
 	if m["dueS"] != nil {
 		s.DeadlineS = f.amount("dueS", false)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -27,6 +28,35 @@
 	return buf.Bytes()
 }
 
+// Size is how large a value is for the limits of the state service, which are
+// measured in the JSON form. raw is its MessagePack form.
+func Size(raw []byte) (int, error) {
+	var v any
+	if err := Decode(raw, &v); err != nil {
+		return 0, err
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		return 0, fmt.Errorf("wire: %w", err)
+	}
+	return len(text), nil
+}
+
+// Exceeds tells whether a value is larger than a limit in bytes; 0: no limit. One
+// byte of MessagePack never becomes more than six of JSON, so most values need
+// not be written out to know.
+func Exceeds(v any, limit int) bool {
+	if limit <= 0 {
+		return false
+	}
+	raw := Encode(v)
+	if 6*len(raw) <= limit {
+		return false
+	}
+	n, err := Size(raw)
+	return err != nil || n > limit
+}
+
 // Decode reads one MessagePack value that must fill the whole body. Decoders
 // of third parties have panicked on hostile input before; a panic is an error
 // of the input here.
