Tests of waiting, the upgrade and falling limits; bytes as production writes them

The plain model of waiting against the graph on random pipelines; the simulated fleet with jobs that wait, and through an upgrade with leaders of both kinds, splits and limits that fall between any two steps; each version's records and pings read by the other; a refused change that fails alone; bad waitsOn and state.next.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -66,6 +66,34 @@
 	}
 }
 
+func TestLimitsToCome(t *testing.T) {
+	read := func(next string) (*Platform, error) {
+		return ParsePlatform([]byte(strings.Replace(good, "[settings.cloud]", next+"\n[settings.cloud]", 1)))
+	}
+	now := Limits{RPS: 200, WriteRPS: 80, ValueKB: 8, TxnOps: 32}
+	for next, want := range map[string]Limits{
+		"":                      now,
+		"[settings.state.next]": now,
+		"[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 10":              {RPS: 200, WriteRPS: 80, ValueKB: 2, TxnOps: 10},
+		"[settings.state.next]\nwrite_rps = 90.0\nrps = 150.0\nfuture = 1": {RPS: 150, WriteRPS: 80, ValueKB: 8, TxnOps: 32},
+	} {
+		if p, err := read(next); err != nil || p.Settings.State.Planned() != want {
+			t.Errorf("%q: planned %+v, %v", next, p.Settings.State.Planned(), err)
+		}
+	}
+	for field, line := range map[string]string{
+		"settings.state.next.value_kb":  "value_kb = 0.0",
+		"settings.state.next.txn_ops":   "txn_ops = 1",
+		"settings.state.next.write_rps": "write_rps = -1.0",
+		"settings.state.next.rps":       "rps = nan",
+		"line":                          `txn_ops = "few"`,
+	} {
+		if _, err := read("[settings.state.next]\n" + line); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error %v, want one that names %s", line, err, field)
+		}
+	}
+}
+
 func TestOperatorSettings(t *testing.T) {
 	base, err := ParseOperator(nil)
 	if err != nil {
--- a/ledger/committer_test.go
+++ b/ledger/committer_test.go
@@ -27,6 +27,10 @@
 	txns  int
 	most  int
 	calls []statestore.Txn
+	// mostOps is the service's limit; 0: none. tooBig are keys whose values are
+	// beyond the limit, with how often they were sent.
+	mostOps int
+	tooBig  map[string]int
 }
 
 type fate int
@@ -36,6 +40,8 @@
 	answerLost      // applied, but not answered
 	late            // not answered, applied after a while
 	refused503
+	// tooLarge: refused for good, as is everything with more than mostOps changes.
+	tooLarge
 )
 
 func (s *fakeStore) apply(t statestore.Txn) statestore.Outcome {
@@ -69,9 +75,20 @@
 	if s.fate != nil {
 		f = s.fate()
 	}
+	if s.mostOps > 0 && len(t.Apply) > s.mostOps {
+		f = tooLarge
+	}
+	for _, op := range t.Apply {
+		if _, is := s.tooBig[op.Write]; is {
+			s.tooBig[op.Write]++
+			f = tooLarge
+		}
+	}
 	s.mu.Unlock()
 	time.Sleep(5 * time.Millisecond)
 	switch f {
+	case tooLarge:
+		return statestore.Outcome{}, statestore.ErrRefused
 	case answerLost:
 		s.apply(t)
 		time.Sleep(time.Second)
@@ -145,6 +162,56 @@
 }
 
 // A deposed leader's change must not get through, and ends its committer.
+// The service's limits fall without notice. A batch that it will not take goes
+// again one by one; a change that is too large by itself fails alone, is told so,
+// and is not sent for ever.
+func TestRefusedChangeFailsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{keys: map[string]statestore.Entry{}, mostOps: 3, tooBig: map[string]int{JobKey("job-4"): 0}}
+		fates := []fate{answerLost}
+		store.fate = func() (f fate) {
+			if len(fates) > 0 {
+				f, fates = fates[0], fates[1:]
+			}
+			return f
+		}
+		c := NewCommitter(store, Limits{Ops: 8, Bytes: 48 << 10}, nil, quiet())
+		outcomes := map[ids.JobID]Outcome{}
+		submit := func(n int) {
+			id := ids.JobID(fmt.Sprintf("job-%d", n))
+			c.Submit(SubmitChange(id, Job{Nonce: uint64(n)}), time.Time{}, func(o Outcome, err error) {
+				if _, twice := outcomes[id]; twice || err != nil {
+					t.Errorf("%s: told again: %v, error %v", id, twice, err)
+				}
+				outcomes[id] = o
+			})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		submit(0) // its answer is lost, and the same again refused once it was applied
+		go func() { done <- c.Run(ctx) }()
+		synctest.Wait()
+		store.mu.Lock()
+		store.tooBig[JobKey("job-0")] = 0
+		store.mu.Unlock()
+		for n := 1; n < 8; n++ {
+			submit(n)
+		}
+		time.Sleep(time.Minute)
+		cancel()
+		<-done
+		for n := range 8 {
+			id := ids.JobID(fmt.Sprintf("job-%d", n))
+			if o, told := outcomes[id]; !told || o.Applied == (n == 4) || o.Refused != (n == 4) {
+				t.Errorf("%s: told %v, %+v", id, told, o)
+			}
+		}
+		if sent := store.tooBig[JobKey("job-4")]; sent != 2 {
+			t.Errorf("the change that is too large was sent %d times, want once in the batch and once alone", sent)
+		}
+	})
+}
+
 func TestFenceEndsTheCommitter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeStore{keys: map[string]statestore.Entry{}}
--- /dev/null
+++ b/node/upgrade_test.go
@@ -0,0 +1,398 @@
+package node
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ospreystile.example/ospreystile/config"
+	"ospreystile.example/ospreystile/election"
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/mesh"
+	"ospreystile.example/ospreystile/statestore"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// smallState is a stand-in for the state service, from its protocol: keys, guarded
+// commits, lists and changes.
+type smallState struct {
+	mu    sync.Mutex
+	epoch ids.Stamp
+	keys  map[string]statestore.Entry
+	log   []statestore.Event
+	down  bool
+	addr  string
+}
+
+func newSmallState(t *testing.T) *smallState {
+	t.Helper()
+	s := &smallState{epoch: 1, keys: map[string]statestore.Entry{}}
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	s.addr = strings.TrimPrefix(srv.URL, "http://")
+	return s
+}
+
+func (s *smallState) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(503)
+		return
+	}
+	prefix := r.URL.Query().Get("prefix")
+	ans := map[string]any{"epoch": s.epoch}
+	switch {
+	case r.URL.Path == "/commit":
+		var txn struct {
+			Guards []statestore.Guard `msgpack:"guards"`
+			Apply  []struct {
+				Write string             `msgpack:"write"`
+				Value msgpack.RawMessage `msgpack:"v"`
+				Drop  string             `msgpack:"drop"`
+			} `msgpack:"apply"`
+		}
+		if err := msgpack.NewDecoder(r.Body).Decode(&txn); err != nil {
+			w.WriteHeader(400)
+			return
+		}
+		for _, g := range txn.Guards {
+			if s.keys[g.Key].Stamp != g.Stamp {
+				w.WriteHeader(409)
+				ans["failed"] = []string{g.Key}
+				_, _ = w.Write(wire.Encode(ans))
+				return
+			}
+		}
+		s.epoch++
+		ans["epoch"] = s.epoch
+		for _, op := range txn.Apply {
+			if op.Drop != "" {
+				delete(s.keys, op.Drop)
+				continue
+			}
+			s.keys[op.Write] = statestore.Entry{Key: op.Write, Value: op.Value, Stamp: s.epoch}
+			s.log = append(s.log, statestore.Event{Write: op.Write, Value: op.Value, Stamp: s.epoch})
+		}
+	case r.URL.Path == "/store":
+		list := []any{}
+		for key, e := range s.keys {
+			if strings.HasPrefix(key, prefix) {
+				list = append(list, map[string]any{"key": key, "v": e.Value, "stamp": e.Stamp})
+			}
+		}
+		ans["entries"] = list
+	case r.URL.Path == "/changes":
+		since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+		list := []any{}
+		for _, e := range s.log {
+			if int(e.Stamp) > since && strings.HasPrefix(e.Write, prefix) {
+				list = append(list, map[string]any{"write": e.Write, "v": e.Value, "stamp": e.Stamp})
+			}
+		}
+		ans["events"] = list
+	default:
+		e, ok := s.keys[strings.TrimPrefix(r.URL.Path, "/store/")]
+		if !ok {
+			w.WriteHeader(404)
+			break
+		}
+		ans["v"], ans["stamp"] = e.Value, e.Stamp
+	}
+	_, _ = w.Write(wire.Encode(ans))
+}
+
+// started is a node of a deployment that can take submissions.
+func (s *smallState) started(t *testing.T, seeds ...config.Peer) *Node {
+	t.Helper()
+	cfg := testConfig(s.addr)
+	cfg.Seeds = seeds
+	cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.State.ValueKB = 20000, 80, 2
+	n := testNode(t, cfg)
+	n.catalog.Store(&[]wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.intake.Run(ctx) })
+	wg.Go(func() { _ = n.polls.run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return n
+}
+
+func waiting(needs ...ids.JobID) *wire.Spec {
+	return &wire.Spec{Class: "c", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", Needs: needs}
+}
+
+// Submissions that name others, at two nodes. What is refused as never accepted is
+// refused only when that is known, a retry of what was accepted is answered from
+// its record, and a withdrawal takes along whatever needs the job, at any node and
+// whenever it came, though nobody leads to write so.
+func TestSubmissionsThatWait(t *testing.T) {
+	state := newSmallState(t)
+	a, b := state.started(t), state.started(t)
+	a.upgrade.durable.Store(true)
+	b.upgrade.durable.Store(true)
+	submit := func(n *Node, id ids.JobID, code int, status string, needs ...ids.JobID) {
+		t.Helper()
+		ans := n.Submit(t.Context(), id, waiting(needs...))
+		if s, _ := ans.Body.(wire.JobStatus); ans.Code != code || s.Status != status || code == 503 && ans.Retry == 0 {
+			t.Errorf("%s after %v: %+v, want %d %s", id, needs, ans, code, status)
+		}
+	}
+	says := func(id ids.JobID, status string) {
+		t.Helper()
+		for _, n := range []*Node{a, b} {
+			ans := n.Status(t.Context(), id)
+			if s, _ := ans.Body.(wire.JobStatus); s.Status != status {
+				t.Errorf("%s: %+v, want %s", id, ans, status)
+			}
+		}
+	}
+	submit(a, "job-1", 201, "queued")
+	submit(b, "job-2", 201, "queued", "job-1")
+	submit(a, "job-3", 201, "queued", "job-2", "job-1")
+	submit(b, "job-4", 422, "", "job-1", "job-none")
+	submit(b, "job-5", 422, "", "job-5")
+	submit(a, "job-3", 200, "queued", "job-none") // accepted before, whatever it names now
+	submit(a, "job-3", 200, "queued", "job-3")
+	says("job-5", "")
+
+	var long []ids.JobID
+	for i := range 400 {
+		long = append(long, ids.JobID(fmt.Sprintf("job-l%d", i)))
+		submit(a, long[i], 201, "queued")
+	}
+	submit(a, "job-6", 422, "", long...) // cannot be kept whole
+	submit(a, "job-7", 201, "queued", long[:40]...)
+	var rec ledger.Job
+	if err := wire.Decode(state.keys["jobs/job-7"].Value, &rec); err != nil || !slices.Equal(rec.Spec.Needs, long[:40]) {
+		t.Errorf("kept %v, %v", rec.Spec, err)
+	}
+
+	state.down = true
+	submit(b, "job-8", 503, "", "job-none") // unknown is not never accepted
+	state.down = false
+	if ans := a.Withdraw(t.Context(), "job-1"); ans.Code != 200 {
+		t.Fatalf("withdrawal: %+v", ans)
+	}
+	says("job-2", wire.StatusWithdrawn)
+	says("job-3", wire.StatusWithdrawn)
+	submit(b, "job-9", 201, wire.StatusWithdrawn, "job-3")
+	says("job-9", wire.StatusWithdrawn)
+	submit(a, "job-3", 200, wire.StatusWithdrawn, "job-2")
+	says("job-7", "queued")
+
+	// While some controller may be old, nothing that names others is taken, and
+	// what was is still answered.
+	old := state.started(t)
+	submit(old, "job-10", 503, "", "job-7")
+	submit(old, "job-10", 422, "", "job-none")
+	submit(old, "job-3", 200, wire.StatusWithdrawn, "job-2")
+	submit(old, "job-11", 201, "queued")
+}
+
+// All controllers are new only once each was heard itself, or by one that was; it
+// is then made durable, and a node that finds it so need hear nobody.
+func TestAllControllersAreNew(t *testing.T) {
+	peers := []config.Peer{{Name: "n-1", Address: "127.0.0.1:5"}, {Name: "n-2", Address: "127.0.0.1:6"}}
+	fresh := func(seen ...ids.NodeName) ping { return ping{versions: versions{Format: formatNew, Seen: seen}} }
+	for _, c := range []struct {
+		name          string
+		first, second *ping
+		all           bool
+	}{
+		{"nobody heard", nil, nil, false},
+		{"one heard", new(fresh()), nil, false},
+		{"both heard", new(fresh()), new(fresh()), true},
+		{"one is old", new(fresh()), new(ping{From: "n-2"}), false},
+		{"one heard by the other", new(fresh("n-0", "n-2")), nil, true},
+		{"heard by one that is old again", new(ping{versions: versions{Format: 1, Seen: []ids.NodeName{"n-2"}}}), nil, false},
+	} {
+		cfg := testConfig("127.0.0.1:4")
+		cfg.Seeds = peers
+		n := testNode(t, cfg)
+		for i, p := range []*ping{c.first, c.second} {
+			if p != nil {
+				n.peers[i].heardVersion(fresh("n-1", "n-2"))
+				n.peers[i].heardVersion(*p)
+			}
+		}
+		if all, durable := n.allNew(); all != c.all || durable {
+			t.Errorf("%s: all new: %v, durable: %v", c.name, all, durable)
+		}
+	}
+
+	state := newSmallState(t)
+	first, second := state.started(t, peers...), state.started(t, peers...)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for i := range peers {
+		first.peers[i].heardVersion(fresh())
+	}
+	for _, n := range []*Node{first, second} {
+		if err := n.awaitUpgrade(ctx); err != nil || !n.upgrade.done() {
+			t.Fatalf("not durable: %v", err)
+		}
+	}
+}
+
+// production holds bytes as the version named in deploy/service.toml writes them.
+func production(t *testing.T) map[string][]byte {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text map[string]string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		t.Fatal(err)
+	}
+	out := map[string][]byte{}
+	for name, h := range text {
+		if out[name], err = hex.DecodeString(h); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
+
+func prodSpec() *wire.Spec {
+	return &wire.Spec{Class: "train", Team: "vision", Priority: wire.High, Tasks: 70, CPUs: 8, GPUs: 1, MemoryGB: 64, Image: "img-07",
+		ImageGB: 6.2, Types: []ids.MachineType{"g8"}, Zone: "a", OneZone: true, Spot: true, EstimateS: 240, SaveEvery: 30, SaveS: 4, DeadlineS: 900}
+}
+
+// Every record and frame of the version in production means the same here.
+func TestReadsWhatProductionWrote(t *testing.T) {
+	queued := ledger.Job{Nonce: 1<<63 + 5, Status: wire.StatusQueued, Tasks: 70, Spec: prodSpec(), SubmittedMS: 1764640000123}
+	withdrawn := queued
+	withdrawn.Nonce, withdrawn.Status = 99, wire.StatusWithdrawn
+	old := production(t)
+	for name, want := range map[string]any{
+		"job queued":    queued,
+		"job withdrawn": withdrawn,
+		"job done":      ledger.Job{Nonce: 98, Status: wire.StatusDone, Tasks: 70},
+		"slice": ledger.Slice{Nonce: 97, Hosts: []ids.Host{"n-000231", "n-000007"}, Zones: []ids.Zone{"a", "b"},
+			Tasks: []int{64, 2, 0, 65, 1, 1, 66, 3, -1}, Done: []int{67, 69}},
+		"leader":       election.Holder{Name: "perch-0", Mesh: "10.0.0.1:8081", Incarnation: 1<<62 + 3},
+		"ping":         ping{From: "perch-1", Leader: "perch-0", Mesh: "10.0.0.1:8081", Inc: 1<<62 + 3, Stamp: 412, StateOK: true, Workers: 231},
+		"state call":   stateCall{"POST", "/commit", []byte{1, 2}, 1000},
+		"state answer": stateAnswer{200, []byte{3}, false, true},
+		"announcement": announcement{"job-1", old["job queued"], 412},
+		"report answer": []reportAnswer{{true, wire.Orders{Token: ids.NewToken(412, 3), Orders: []wire.Order{
+			{Verb: "run", Name: "job-1/3", Attempt: 2}, {Verb: "kill", Name: "job-2/1", Attempt: 1, GraceS: 5.5}}}}},
+		"progress": []progress{{3, 13}},
+	} {
+		got := reflect.New(reflect.TypeOf(want))
+		decode, encode := wire.Decode, func(v any) ([]byte, error) { return wire.Encode(v), nil }
+		switch name {
+		case "ping", "state call", "state answer", "announcement", "report answer", "progress":
+			decode, encode = mesh.Decode, cbor.Marshal
+		}
+		if err := decode(old[name], got.Interface()); err != nil || !reflect.DeepEqual(got.Elem().Interface(), want) {
+			t.Errorf("%s: read %+v, %v, want %+v", name, got.Elem(), err, want)
+		}
+		// Until the upgrade is over the same is written byte by byte.
+		if raw, err := encode(want); err != nil || string(raw) != string(old[name]) {
+			t.Errorf("%s: written as %x, %v, production writes %x", name, raw, err, old[name])
+		}
+	}
+}
+
+// oldJob, oldSpec and oldPing are the structs of the version in production, as a
+// stand-in for it, and so is how it reads a job.
+type oldJob struct {
+	Nonce       uint64   `msgpack:"w"`
+	Status      string   `msgpack:"s"`
+	Tasks       int      `msgpack:"n"`
+	Spec        *oldSpec `msgpack:"p,omitempty"`
+	SubmittedMS int64    `msgpack:"t,omitempty"`
+}
+
+type oldSpec struct {
+	Class     string   `msgpack:"c"`
+	Team      string   `msgpack:"g"`
+	Service   bool     `msgpack:"s,omitempty"`
+	Gang      bool     `msgpack:"gg,omitempty"`
+	Priority  int      `msgpack:"p"`
+	Tasks     int      `msgpack:"n"`
+	CPUs      float64  `msgpack:"u"`
+	GPUs      float64  `msgpack:"a,omitempty"`
+	MemoryGB  float64  `msgpack:"m"`
+	Image     string   `msgpack:"i"`
+	ImageGB   float64  `msgpack:"ig"`
+	Types     []string `msgpack:"t,omitempty"`
+	Zone      string   `msgpack:"z,omitempty"`
+	OneZone   bool     `msgpack:"oz,omitempty"`
+	Spread    bool     `msgpack:"sp,omitempty"`
+	Spot      bool     `msgpack:"l,omitempty"`
+	EstimateS float64  `msgpack:"e,omitempty"`
+	SaveEvery float64  `msgpack:"ce,omitempty"`
+	SaveS     float64  `msgpack:"cs,omitempty"`
+	DeadlineS float64  `msgpack:"d,omitempty"`
+}
+
+type oldPing struct {
+	From    string `cbor:"1,keyasint"`
+	Leader  string `cbor:"2,keyasint"`
+	Mesh    string `cbor:"3,keyasint"`
+	Inc     uint64 `cbor:"4,keyasint"`
+	Stamp   uint64 `cbor:"5,keyasint"`
+	StateOK bool   `cbor:"6,keyasint"`
+	Workers int    `cbor:"7,keyasint"`
+}
+
+// What is written while old controllers serve is read by them as it was meant, what
+// is new in it passed over.
+func TestProductionReadsWhatIsWritten(t *testing.T) {
+	spec := oldSpec{Class: "train", Team: "vision", Priority: 2, Tasks: 70, CPUs: 8, GPUs: 1, MemoryGB: 64, Image: "img-07",
+		ImageGB: 6.2, Types: []string{"g8"}, Zone: "a", OneZone: true, Spot: true, EstimateS: 240, SaveEvery: 30, SaveS: 4, DeadlineS: 900}
+	short := oldSpec{Team: "vision", Priority: 2, Tasks: 70, CPUs: 8, GPUs: 1, MemoryGB: 64, OneZone: true, Spot: true}
+	rec := ledger.Job{Nonce: 4, Status: wire.StatusQueued, Tasks: 70, Spec: prodSpec(), SubmittedMS: 5}
+	for _, c := range []struct {
+		name    string
+		written any
+		want    oldJob
+	}{
+		{"done, with the time", ledger.DoneChange("job-1", 7, ledger.Job{Nonce: 6, Tasks: 70, DoneMS: 1764640000123}, nil).Apply[0].Value,
+			oldJob{Nonce: 6, Status: "done", Tasks: 70}},
+		{"withdrawn", ledger.WithdrawChange("job-1", 7, 6, rec, 2000).Apply[0].Value,
+			oldJob{Nonce: 6, Status: "withdrawn", Tasks: 70, Spec: &spec, SubmittedMS: 5}},
+		{"withdrawn, and too large", ledger.WithdrawChange("job-1", 7, 6, rec, 150).Apply[0].Value,
+			oldJob{Nonce: 6, Status: "withdrawn", Tasks: 70, Spec: &short, SubmittedMS: 5}},
+	} {
+		var got oldJob
+		if err := wire.Decode(wire.Encode(c.written), &got); err != nil || !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: read as %+v %+v, %v", c.name, got, got.Spec, err)
+		}
+		if c.name == "withdrawn, and too large" && wire.Exceeds(c.written, 150) {
+			t.Errorf("%s: it still is", c.name)
+		}
+	}
+	n := testNode(t, testConfig("127.0.0.1:4"))
+	raw, err := cbor.Marshal(n.ping())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got oldPing
+	if err := cbor.Unmarshal(raw, &got); err != nil || got != (oldPing{From: "n-0", StateOK: true}) {
+		t.Errorf("a ping is read as %+v, %v", got, err)
+	}
+	var full ping
+	if err := mesh.Decode(raw, &full); err != nil || full.Format != formatNew {
+		t.Errorf("and by its own kind as %+v, %v", full, err)
+	}
+}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -119,6 +119,12 @@
 	starts    int
 	faults    bool
 	capacity  int // machines of each site
+	// valueBytes and txnOps are the limits of the state service, 0: none, and
+	// refused counts the changes beyond them.
+	valueBytes, txnOps int
+	refused, splits    int
+	// oldFormat: some controller may not know split slices yet.
+	oldFormat bool
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
@@ -174,6 +180,7 @@
 		return false, failed
 	}
 	s.epoch++
+	defer s.checkSlices(ops)
 	for _, op := range ops {
 		if op.Write == "" {
 			delete(s.store, op.Drop)
@@ -192,6 +199,51 @@
 	return true, nil
 }
 
+// fits tells whether the state service would take a change.
+func (s *sim) fits(ops []statestore.Op) bool {
+	if s.txnOps > 0 && len(ops) > s.txnOps {
+		return false
+	}
+	return !slices.ContainsFunc(ops, func(op statestore.Op) bool { return op.Write != "" && wire.Exceeds(op.Value, s.valueBytes) })
+}
+
+// checkSlices looks at the admission records of a job that was written to: no task
+// may be in two, and before the upgrade each slice must hold the tasks that its
+// number tells.
+func (s *sim) checkSlices(ops []statestore.Op) {
+	var job ids.JobID
+	for _, op := range ops {
+		if id, _, ok := ledger.ParseAdmissionKey(op.Write); ok {
+			job = id
+		}
+	}
+	if job == "" {
+		return
+	}
+	in := map[int]int{}
+	for key, e := range s.store {
+		id, n, ok := ledger.ParseAdmissionKey(key)
+		if !ok || id != job {
+			continue
+		}
+		var rec ledger.Slice
+		s.must(wire.Decode(e.raw, &rec))
+		tasks := slices.Clone(rec.Done)
+		for k := 0; k < len(rec.Tasks); k += 3 {
+			tasks = append(tasks, rec.Tasks[k])
+		}
+		for _, i := range tasks {
+			if other, twice := in[i]; twice && other != n {
+				s.breaks("%s/%d is recorded in slices %d and %d", id, i, other, n)
+			}
+			in[i] = n
+			if s.oldFormat && i/s.opt.SliceTasks != n {
+				s.breaks("%s/%d is recorded in slice %d before the upgrade", id, i, n)
+			}
+		}
+	}
+}
+
 // takeOver puts a new leader in place. What the old one sent is still under
 // way.
 func (s *sim) takeOver() {
@@ -369,7 +421,19 @@
 	if leader == 0 {
 		return
 	}
+	if !s.fits(ch.Apply) {
+		s.refused++
+		s.after(0, func() {
+			if s.term == term {
+				core.ChangeResult(s.now, ledger.Outcome{Change: ch, Refused: true})
+			}
+		})
+		return
+	}
 	ok, failed := s.commit(ch.Guards, ch.Apply)
+	if ok && len(ch.Apply) > 1 && ch.Apply[1].Write != "" {
+		s.splits++
+	}
 	o := ledger.Outcome{Change: ch, Applied: ok, Stamp: s.epoch, Failed: failed}
 	wait := time.Duration(0)
 	if s.chance(0.05) {
@@ -495,6 +559,11 @@
 	if when, ok := s.withdrawn[t.ref.Job]; ok && s.now > when.Add(simCancel) {
 		s.breaks("ran_cancelled: %s started", t.ref)
 	}
+	for _, n := range spec.Needs {
+		if s.status(n) != wire.StatusDone {
+			s.breaks("too_early: %s started while %s is %s", t.ref, n, s.status(n))
+		}
+	}
 	zones := map[ids.Zone]int{}
 	for _, p := range s.sent[t.ref.Job] {
 		if p.t.state != wire.TaskRunning || s.expired(p.w) || !s.here(p.w, p.t) {
@@ -698,6 +767,45 @@
 	return sp
 }
 
+// waitingSpec is a random job that may wait for some that were submitted before,
+// over or not.
+func (s *sim) waitingSpec(all []ids.JobID) *wire.Spec {
+	sp := s.randomSpec()
+	for range min(len(all), s.rng.IntN(4)) {
+		id := all[len(all)-1-s.rng.IntN(min(len(all), 8))]
+		if !s.specs[id].Service && !slices.Contains(sp.Needs, id) {
+			sp.Needs = append(sp.Needs, id)
+		}
+	}
+	return sp
+}
+
+// status is a job's own record.
+func (s *sim) status(id ids.JobID) string {
+	var rec ledger.Job
+	s.must(wire.Decode(s.store[ledger.JobKey(id)].raw, &rec))
+	return rec.Status
+}
+
+// orphan tells by the records alone whether a job needs one that is withdrawn.
+func (s *sim) orphan(id ids.JobID) bool {
+	return slices.ContainsFunc(s.specs[id].Needs, func(n ids.JobID) bool {
+		return s.status(n) == wire.StatusWithdrawn || s.orphan(n)
+	})
+}
+
+// checkOrphans sees that what needs a withdrawn job is withdrawn as well, and that
+// nothing else is but by its user.
+func (s *sim) checkOrphans(all []ids.JobID) {
+	s.t.Helper()
+	for _, id := range all {
+		_, byUser := s.withdrawn[id]
+		if got := s.status(id) == wire.StatusWithdrawn; got != (byUser || s.orphan(id)) {
+			s.t.Errorf("%s is %s; withdrawn by its user: %v, an orphan: %v", id, s.status(id), byUser, s.orphan(id))
+		}
+	}
+}
+
 // TestRulesUnderFaults plays random days with cuts, sick machines, held and
 // repeated messages, outages and takeovers, and checks the users' rules on the
 // machines. When the faults end, every array must come to its end.
@@ -710,8 +818,8 @@
 			for range 40 {
 				for range s.rng.IntN(3) {
 					id := ids.JobID(fmt.Sprintf("job-%03d", len(all)))
+					s.submit(id, s.waitingSpec(all))
 					all = append(all, id)
-					s.submit(id, s.randomSpec())
 				}
 				if len(all) > 0 && s.rng.IntN(5) == 0 {
 					s.withdraw(all[s.rng.IntN(len(all))])
@@ -754,6 +862,7 @@
 				w.sick = false
 			}
 			s.toTheEnd(all, 20*time.Minute)
+			s.checkOrphans(all)
 			if s.starts == 0 {
 				t.Fatal("nothing ran")
 			}
--- /dev/null
+++ b/scheduler/upgrade_test.go
@@ -0,0 +1,145 @@
+package scheduler
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// TestUpgradeUnderFaults plays fleets through an upgrade. First leaders of the old
+// version and new ones take turns: they write alike, so the old is played by a core
+// that knows no size. Then all are new, and jobs wait for others; then the limits
+// fall, at any moment, and leaders end between any two steps. Nothing written may
+// then be too large, though old records are; no task may be in two records or in
+// none; and all work comes to its end.
+func TestUpgradeUnderFaults(t *testing.T) {
+	const value, ops = 330, 3
+	var split atomic.Int64
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(24) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				s := newSim(t, 1000+seed)
+				s.opt.SliceTasks, s.opt.TxnOps = 16, ops
+				s.takeOver()
+				s.oldFormat = true
+				var all []ids.JobID
+				for round := range 30 {
+					switch round {
+					case 10:
+						s.oldFormat = false
+						s.opt.ValueBytes, s.opt.Split = value, true
+						s.core.AllNew(s.now)
+					case 11 + s.rng.IntN(6):
+						s.valueBytes, s.txnOps = value, ops
+					}
+					if round < 10 && s.rng.IntN(3) == 0 {
+						s.opt.ValueBytes = []int{0, value}[s.rng.IntN(2)] // an old leader, or a new one
+						s.takeOver()
+					}
+					if s.rng.IntN(5) == 0 {
+						s.takeOver()
+					}
+					for range 1 + s.rng.IntN(2) {
+						id := ids.JobID(fmt.Sprintf("job-%03d", len(all)))
+						sp := s.randomSpec()
+						if round > 10 {
+							sp = s.waitingSpec(all)
+						}
+						if !sp.Service && !sp.Gang {
+							sp.Tasks, sp.CPUs = 20+s.rng.IntN(30), 1
+						}
+						s.submit(id, sp)
+						all = append(all, id)
+					}
+					if s.rng.IntN(8) == 0 {
+						s.withdraw(all[s.rng.IntN(len(all))])
+					}
+					s.run(time.Duration(1+s.rng.IntN(6)) * time.Second)
+				}
+				s.valueBytes, s.txnOps = value, ops
+				s.toTheEnd(all, 40*time.Minute)
+				s.checkOrphans(all)
+				if s.refused > 0 {
+					t.Errorf("%d changes were beyond the limits", s.refused)
+				}
+				split.Add(int64(s.splits))
+			})
+		}
+	})
+	if n := split.Load(); n < 24 {
+		t.Errorf("only %d records were split", n)
+	}
+}
+
+// The limits fall below what was said: the change that is too large is refused for
+// good. Its job must wait for it alone, take less, and not ask for ever.
+func TestRefusedChangeHoldsUpNobodyElse(t *testing.T) {
+	b := newBench(t, Options{})
+	b.job("job-1", wire.Spec{Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1})
+	b.report("n-1", "a", 0)
+	sent := func(e Effects, job ids.JobID) (out []ledger.Change) {
+		for _, ch := range e.Changes {
+			if len(ch.Apply) > 0 && ch.Guards[0].Key == ledger.JobKey(job) {
+				out = append(out, ch)
+			}
+		}
+		return out
+	}
+	tries := 0
+	for range 3000 {
+		for _, ch := range sent(b.c.Step(b.now), "job-1") {
+			tries++
+			b.c.ChangeResult(b.now, ledger.Outcome{Change: ch, Refused: true})
+		}
+		b.now = b.now.Add(500 * time.Millisecond)
+		b.report("n-1", "a", 0)
+	}
+	if tries < 2 || tries > mostRefusals {
+		t.Errorf("the change was sent %d times in 25 minutes", tries)
+	}
+	b.job("job-2", wire.Spec{Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1})
+	if got := sent(b.c.Step(b.now), "job-2"); len(got) != 1 {
+		t.Errorf("the next job wrote %d changes", len(got))
+	}
+	if _, known := b.c.Status("job-1"); !known {
+		t.Error("the job is forgotten")
+	}
+}
+
+// Two jobs compete for one machine, and each is needed by others. Whoever is
+// stopped for the other must not come back to stop it in turn, and a job that lost
+// those that needed it counts as what it is.
+func TestPriorityReachesBack(t *testing.T) {
+	b := newBench(t, Options{})
+	low := wire.Spec{Team: "red", Tasks: 1, CPUs: 8, MemoryGB: 1}
+	last := low
+	last.Priority, last.Needs = wire.High, []ids.JobID{"job-1"}
+	other := low
+	other.Priority = wire.Normal
+	b.job("job-1", low)
+	b.job("job-2", last)
+	b.job("job-3", other)
+	first := b.c.jobs["job-1"]
+	if first.prio != wire.High {
+		t.Fatalf("the first job has priority %d", first.prio)
+	}
+	b.report("n-1", "a", 0)
+	b.step()
+	if len(first.active) != 1 || len(b.c.jobs["job-2"].active) != 0 {
+		t.Fatal("the first job of the pipeline must go first, the last not at all")
+	}
+	on := b.c.on[work{"red", wire.High}]
+	if on.staying != 1 {
+		t.Errorf("counted %+v", on)
+	}
+	b.c.JobSeen(b.now, "job-2", &ledger.Job{Status: wire.StatusWithdrawn, Tasks: 1}, 999)
+	if first.prio != wire.BestEffort || b.c.on[work{"red", wire.High}].staying != 0 || b.c.on[work{"red", wire.BestEffort}].staying != 1 {
+		t.Errorf("after the last job is gone the first has priority %d, counted %+v", first.prio, b.c.on)
+	}
+}
--- a/wire/spec_test.go
+++ b/wire/spec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -32,6 +33,35 @@
 	}
 }
 
+// Absent, null and empty mean that a job waits for none; a name given twice counts
+// once.
+func TestWaitsOn(t *testing.T) {
+	for _, c := range []struct {
+		given any
+		want  []ids.JobID
+	}{
+		{nil, nil}, {[]any{}, nil}, {[]any{"job-2", "job-1", "job-2"}, []ids.JobID{"job-2", "job-1"}},
+	} {
+		m := submission()
+		m["waitsOn"] = c.given
+		if _, s, err := ParseSubmission(Encode(m)); err != nil || !slices.Equal(s.Needs, c.want) {
+			t.Errorf("%v: %v, %v", c.given, s, err)
+		}
+	}
+}
+
+// The state service measures values in their JSON form.
+func TestSizeIsThatOfJSON(t *testing.T) {
+	v := map[string]any{"w": uint64(1 << 63), "h": []string{"n-000231"}, "t": []int{1, 20, -1}, "s": true}
+	const text = `{"h":["n-000231"],"s":true,"t":[1,20,-1],"w":9223372036854775808}`
+	if n, err := Size(Encode(v)); err != nil || n != len(text) {
+		t.Errorf("size %d, %v, want %d", n, err, len(text))
+	}
+	if Exceeds(v, len(text)) || !Exceeds(v, len(text)-1) || Exceeds(v, 0) {
+		t.Error("the limit is not where it should be")
+	}
+}
+
 func TestBadSubmissionsAreRefused(t *testing.T) {
 	for name, change := range map[string]func(map[string]any){
 		"no id":             func(m map[string]any) { delete(m, "nameId") },
@@ -51,6 +81,12 @@
 		"types of numbers":  func(m map[string]any) { m["frames"] = []any{1} },
 		"flag missing":      func(m map[string]any) { delete(m, "oneZone") },
 		"flag as number":    func(m map[string]any) { m["spread"] = 1 },
+		"waits on a text":   func(m map[string]any) { m["waitsOn"] = "job-1" },
+		"waits on a map":    func(m map[string]any) { m["waitsOn"] = map[string]any{"job-1": true} },
+		"waits on numbers":  func(m map[string]any) { m["waitsOn"] = []any{"job-1", 7} },
+		"waits on nothing":  func(m map[string]any) { m["waitsOn"] = []any{"job-1", nil} },
+		"waits on no id":    func(m map[string]any) { m["waitsOn"] = []any{"job-1", "train"} },
+		"waits on a path":   func(m map[string]any) { m["waitsOn"] = []any{"job-1/2"} },
 		"deadline as text":  func(m map[string]any) { m["dueS"] = "soon" },
 		"zone as number":    func(m map[string]any) { m["hall"] = 3 },
 		"endless team name": func(m map[string]any) { m["crew"] = strings.Repeat("x", 1000) },
