--- a/ledger/records.go
+++ b/ledger/records.go
@@ -64,8 +64,12 @@
 // Pipeline is what the record says about waiting.
 func (j *Job) Pipeline() pipeline.Record {
 	r := pipeline.Record{Status: j.Status, SubmittedMS: j.SubmittedMS, DoneMS: j.DoneMS}
-	if j.Spec != nil {
-		r.Needs, r.Priority = j.Spec.Needs, j.Spec.Priority
+	if s := j.Spec; s != nil {
+		r.Needs, r.Priority, r.Takes = s.Needs, s.Priority, ids.Seconds(s.EstimateS)
+		// Deadlines of jobs that wait for none decide nothing, as before.
+		if len(s.Needs) > 0 && s.DeadlineS > 0 {
+			r.DueMS = j.SubmittedMS + ids.Seconds(s.DeadlineS).Milliseconds()
+		}
 	}
 	return r
 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -9,6 +9,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/wire"
@@ -39,6 +40,10 @@
 	Priority wire.Priority
 	// SubmittedMS and DoneMS are times of day; 0: not known.
 	SubmittedMS, DoneMS int64
+	// DueMS is when the job should be done, as the time of day; 0: no deadline.
+	// Takes is how long its tasks should run.
+	DueMS int64
+	Takes time.Duration
 }
 
 // Standing is what follows for a job from all records.
@@ -49,6 +54,10 @@
 	Priority wire.Priority
 	// ReadyMS is when the job became ready, or will have been at the least.
 	ReadyMS int64
+	// StartByMS is the latest time at which the job may start, if it and all that
+	// need it are to be done by their deadlines; 0: there are none. It counts those
+	// that were withdrawn since.
+	StartByMS int64
 }
 
 // levels is how many priorities there are.
@@ -65,10 +74,19 @@
 	// crowd that needs one job may then change without being looked through.
 	by              [levels]int32
 	readyMS, doneMS int64
+	endBy           int64 // as StartByMS, for its end
+	takes           time.Duration
 }
 
 func (n *node) over() bool { return n.state >= Done }
 
+func (n *node) startBy() int64 {
+	if n.endBy == 0 {
+		return 0
+	}
+	return n.endBy - n.takes.Milliseconds()
+}
+
 // Graph holds all jobs and who needs whom. Its work is in proportion to what
 // changes: chains may be long and fans wide.
 type Graph struct{ nodes map[ids.JobID]*node }
@@ -82,7 +100,7 @@
 	if n == nil {
 		return Standing{}
 	}
-	return Standing{State: n.state, Priority: n.prio, ReadyMS: n.readyMS}
+	return Standing{State: n.state, Priority: n.prio, ReadyMS: n.readyMS, StartByMS: n.startBy()}
 }
 
 // Needs lists the unfinished jobs that a job waits for.
@@ -158,6 +176,8 @@
 	w.change(n)
 	n.state, n.own, n.readyMS = Waiting, r.Priority, r.SubmittedMS
 	n.prio = n.highest()
+	n.takes = r.Takes
+	n.due(r.DueMS)
 	doomed := false
 	named := slices.Clone(r.Needs)
 	slices.Sort(named)
@@ -185,6 +205,7 @@
 	for _, m := range n.needs {
 		w.raise(m)
 	}
+	w.hurry(n)
 }
 
 // leave takes a job that is over out of the count of those that still need others.
@@ -232,6 +253,31 @@
 	}
 }
 
+// due notes a time by which a job should be done, and tells whether it is the
+// earliest.
+func (n *node) due(by int64) bool {
+	if by == 0 || n.endBy != 0 && by >= n.endBy {
+		return false
+	}
+	n.endBy = by
+	return true
+}
+
+// hurry brings the times by which what a job needs should be done up to date.
+func (w *walk) hurry(first *node) {
+	todo := []*node{first}
+	for len(todo) > 0 {
+		n := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		for _, m := range n.needs {
+			if !m.over() && m.due(n.startBy()) {
+				w.change(m)
+				todo = append(todo, m)
+			}
+		}
+	}
+}
+
 // highest is the priority that follows for a job.
 func (n *node) highest() wire.Priority {
 	for p := levels - 1; p > int(n.own); p-- {
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/wire"
@@ -132,6 +134,33 @@
 	}
 }
 
+// The deadline of the last job reaches back over all that it needs, whenever they
+// are heard of: each must start early enough for what comes after it.
+func TestDeadlinesReachBack(t *testing.T) {
+	records := map[ids.JobID]Record{
+		"job-1": {Status: wire.StatusQueued, Takes: 5 * time.Second},
+		"job-2": {Status: wire.StatusQueued, Takes: 20 * time.Second, Needs: []ids.JobID{"job-1"}},
+		"job-3": {Status: wire.StatusQueued, Takes: 10 * time.Second, Needs: []ids.JobID{"job-1"}},
+		"job-4": {Status: wire.StatusQueued, Takes: 2 * time.Second, Needs: []ids.JobID{"job-2", "job-3"}, DueMS: 100_000},
+		"job-5": {Status: wire.StatusQueued, Takes: time.Second, Needs: []ids.JobID{"job-3"}, DueMS: 80_000},
+		"job-6": {Status: wire.StatusQueued, Takes: time.Second},
+	}
+	want := map[ids.JobID]int64{"job-1": 64_000, "job-2": 78_000, "job-3": 69_000, "job-4": 98_000, "job-5": 79_000, "job-6": 0}
+	for seed := range uint64(50) {
+		g, rng := New(), rand.New(rand.NewPCG(seed, 5))
+		order := slices.Sorted(maps.Keys(records))
+		rng.Shuffle(len(order), func(i, k int) { order[i], order[k] = order[k], order[i] })
+		for _, id := range order {
+			g.Put(id, records[id])
+		}
+		for id, by := range want {
+			if got := g.Of(id).StartByMS; got != by {
+				t.Errorf("in order %v: %s must start by %d, want %d", order, id, got, by)
+			}
+		}
+	}
+}
+
 // A chain or a fan of a hundred thousand jobs takes neither the stack nor time
 // beyond what changes.
 func TestLongChainsAndWideFans(t *testing.T) {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -22,7 +22,7 @@
 }
 
 // waiting lists the jobs with tasks to place: by priority, then those that must
-// begin, then by creation time.
+// begin, then by creation time, or for pipelines by when they became ready.
 func (c *Core) waiting() []*job {
 	var out []*job
 	for _, j := range c.jobs {
@@ -38,8 +38,8 @@
 		if x, y := c.mustBegin(a), c.mustBegin(b); x != y {
 			return x
 		}
-		if a.at != b.at {
-			return a.at < b.at
+		if a.by != b.by {
+			return a.by < b.by
 		}
 		return a.id < b.id
 	})
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -151,10 +151,13 @@
 }
 
 type job struct {
-	id     ids.JobID
-	spec   *wire.Spec
-	stamp  ids.Stamp
-	at     int64 // when it was ready to run, as the time of day; jobs go by it
+	id    ids.JobID
+	spec  *wire.Spec
+	stamp ids.Stamp
+	at    int64 // when it was ready to run, as the time of day
+	// by is what jobs go by: at, or for a pipeline that is late, when this job
+	// should have started for the last to be done in time.
+	by     int64
 	status string
 	// prio is the job's own priority or that of one that needs it, ready tells
 	// that all that it needs is done, and unwritten that it is withdrawn with
@@ -259,7 +262,7 @@
 	dirty      map[*slice]*job
 	finishable map[*job]bool
 	withdrawn  map[*job]bool
-	orphans    map[*job]bool // unwritten ones whose change is not on its way
+	orphans    []*job // unwritten ones whose change is not on its way
 
 	lastFleet   ids.Instant
 	nextBooking int
@@ -319,7 +322,6 @@
 		dirty:      map[*slice]*job{},
 		finishable: map[*job]bool{},
 		withdrawn:  map[*job]bool{},
-		orphans:    map[*job]bool{},
 		renting:    map[placement.Site]int{},
 		bookings:   map[placement.Site]int{},
 		peaks:      map[string]*peak{},
@@ -353,7 +355,7 @@
 func (c *Core) Broken() error { return c.broken }
 
 func (c *Core) newJob(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) *job {
-	j := &job{id: id, spec: rec.Spec, stamp: stamp, at: rec.SubmittedMS, status: rec.Status,
+	j := &job{id: id, spec: rec.Spec, stamp: stamp, at: rec.SubmittedMS, by: rec.SubmittedMS, status: rec.Status,
 		active: map[int]*assignment{}, zones: placement.Zones{}, came: c.now, waits: c.now}
 	if j.spec == nil {
 		j.spec = &wire.Spec{Tasks: rec.Tasks}
@@ -589,10 +591,13 @@
 	}
 	s := c.graph.Of(j.id)
 	c.setPriority(j, s.Priority)
+	if j.by = s.ReadyMS; s.StartByMS != 0 {
+		j.by = min(j.by, s.StartByMS)
+	}
 	switch {
 	case s.State == pipeline.Withdrawn:
 		j.status, j.unwritten = wire.StatusWithdrawn, true
-		c.orphans[j] = true
+		c.orphans = append(c.orphans, j)
 		c.beginStop(j)
 	case s.State == pipeline.Ready && !j.ready:
 		j.ready, j.at = true, s.ReadyMS
@@ -719,7 +724,6 @@
 func (c *Core) written(j *job) {
 	if j.unwritten {
 		j.unwritten = false
-		delete(c.orphans, j)
 		c.withdrawn[j] = true
 	}
 }
@@ -854,9 +858,7 @@
 	j.finishing = false
 	if p.orphan && len(failed) == 1 {
 		// Its user withdrew it too; the record is on its way.
-		if j.unwritten {
-			c.orphans[j] = true
-		}
+		c.orphans = append(c.orphans, j)
 		c.refresh(j, 500*time.Millisecond)
 		return
 	}
@@ -908,7 +910,7 @@
 	j.finishing = false
 	c.undo(p)
 	if p.orphan {
-		c.orphans[j] = true
+		c.orphans = append(c.orphans, j)
 	}
 	j.refusals++
 	wait := min(time.Minute, time.Second<<min(j.refusals, mostRefusals))
@@ -991,11 +993,8 @@
 		}
 		c.finish(j)
 	}
-	for _, j := range sortedJobs(c.orphans) {
-		if !c.mayWrite() {
-			return
-		}
-		c.withdrawOrphan(j)
+	if !c.writeOrphans() {
+		return
 	}
 	for _, j := range sortedJobs(c.withdrawn) {
 		if !c.mayWrite() {
@@ -1129,15 +1128,26 @@
 	return rec
 }
 
-// withdrawOrphan writes that a job is withdrawn with one that it needs. It never
-// had a task, so nothing else of it has to be kept.
-func (c *Core) withdrawOrphan(j *job) {
-	if c.now < j.refreshAt {
-		return
+// writeOrphans writes that jobs are withdrawn with one that they need. They never
+// had a task, so nothing else of them has to be kept. There may be a crowd of them,
+// so each is looked at once, in order. False means that the rate allows no more.
+func (c *Core) writeOrphans() bool {
+	for n := len(c.orphans); n > 0; n-- {
+		if !c.mayWrite() {
+			return false
+		}
+		j := c.orphans[0]
+		c.orphans = c.orphans[1:]
+		switch {
+		case !j.unwritten: // its user withdrew it too
+		case c.now < j.refreshAt:
+			c.orphans = append(c.orphans, j)
+		default:
+			rec := ledger.Job{Tasks: len(j.tasks), SubmittedMS: j.at}
+			c.submit(&pendingChange{job: j, orphan: true}, ledger.WithdrawChange(j.id, j.stamp, c.nonce(), rec, 0))
+		}
 	}
-	delete(c.orphans, j)
-	rec := ledger.Job{Tasks: len(j.tasks), SubmittedMS: j.at}
-	c.submit(&pendingChange{job: j, orphan: true}, ledger.WithdrawChange(j.id, j.stamp, c.nonce(), rec, 0))
+	return true
 }
 
 // finish commits that a job is done, and drops what records it can in the
