--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
@@ -431,7 +432,7 @@
 		return
 	}
 	ok, failed := s.commit(ch.Guards, ch.Apply)
-	if ok && len(ch.Apply) > 1 && ch.Apply[1].Write != "" {
+	if ok && len(ch.Apply) > 1 && strings.HasPrefix(ch.Apply[1].Write, ledger.AdmissionPrefix) {
 		s.splits++
 	}
 	o := ledger.Outcome{Change: ch, Applied: ok, Stamp: s.epoch, Failed: failed}
--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -18,7 +18,7 @@
 // then be too large, though old records are; no task may be in two records or in
 // none; and all work comes to its end.
 func TestUpgradeUnderFaults(t *testing.T) {
-	const value, ops = 330, 3
+	const value, ops = 170, 4
 	var split atomic.Int64
 	t.Run("days", func(t *testing.T) {
 		for seed := range uint64(24) {
@@ -32,8 +32,11 @@
 				for round := range 30 {
 					switch round {
 					case 10:
-						s.oldFormat = false
-						s.opt.ValueBytes, s.opt.Split = value, true
+						s.opt.ValueBytes = value
+						if s.core.opt.ValueBytes == 0 {
+							s.takeOver() // the last old process is replaced
+						}
+						s.oldFormat, s.opt.Split = false, true
 						s.core.AllNew(s.now)
 					case 11 + s.rng.IntN(6):
 						s.valueBytes, s.txnOps = value, ops
@@ -143,3 +146,43 @@
 		t.Errorf("after the last job is gone the first has priority %d, counted %+v", first.prio, b.c.on)
 	}
 }
+
+// While a split is on its way its tasks go on: what is placed then belongs to one of
+// the parts, and would wait for ever if that part were not written for it.
+func TestPlacedWhileTheRecordIsSplit(t *testing.T) {
+	b := newBench(t, Options{ValueBytes: 50, Split: true})
+	b.job("job-1", wire.Spec{Tasks: 4, CPUs: 4, MemoryGB: 1})
+	b.report("n-1", "a", 0)
+	split := b.c.Step(b.now).Changes
+	if len(split) != 1 || len(split[0].Apply) < 2 {
+		t.Fatalf("changes %+v", split)
+	}
+	b.now = b.now.Add(time.Second)
+	b.report("n-2", "a", 0)
+	b.step()
+	b.c.ChangeResult(b.now, ledger.Outcome{Change: split[0], Applied: true, Stamp: 500})
+	var runs []string
+	for _, h := range []ids.Host{"n-1", "n-2"} {
+		b.step()
+		runs = append(runs, verbs(b.report(h, "a", 0).Orders, wire.VerbRun)...)
+	}
+	if len(runs) != 4 {
+		t.Errorf("started %v", runs)
+	}
+}
+
+// A record that was too large when it could not be split is split once it may be,
+// though nothing happens to its tasks.
+func TestLargeRecordsAreSplitOnceAllAreNew(t *testing.T) {
+	b := newBench(t, Options{ValueBytes: 50})
+	b.job("job-1", wire.Spec{Tasks: 2, CPUs: 4, MemoryGB: 1, Service: true})
+	b.report("n-1", "a", 0)
+	if e := b.step(); len(e.Changes) != 1 || len(e.Changes[0].Apply) != 1 {
+		t.Fatalf("changes %+v", e.Changes)
+	}
+	b.c.AllNew(b.now)
+	b.now = b.now.Add(simLease / 2)
+	if e := b.step(); len(e.Changes) != 1 || len(e.Changes[0].Apply) != 2 {
+		t.Errorf("changes %+v", e.Changes)
+	}
+}
