--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -26,7 +26,7 @@
 func (c *Core) waiting() []*job {
 	var out []*job
 	for _, j := range c.jobs {
-		if j.ready && !j.over() && !j.setAside && len(j.pending) > 0 && c.now >= j.retryAt {
+		if j.ready && !j.over() && !j.setAside && j.refusals < mostRefusals && len(j.pending) > 0 && c.now >= j.retryAt {
 			out = append(out, j)
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -644,6 +644,7 @@
 	}
 	c.opt.Split = true
 	for _, j := range c.jobs {
+		j.refusals = 0 // what could not be split may be now
 		for _, s := range j.slices {
 			c.markLarge(j, s)
 		}
@@ -903,8 +904,9 @@
 
 // putOff handles a change that the state service would not take at all, as when
 // its limits are lower than it said. The same would be refused again: the job's
-// next change is half as large and comes later, and after a few of them the job is
-// set aside. Others go on meanwhile.
+// next change is half as large and comes later, and after a few of them nothing more
+// is written or placed for it, until all controllers are new or another leads. Others
+// go on meanwhile.
 func (c *Core) putOff(p *pendingChange) {
 	j := p.job
 	j.finishing = false
@@ -915,7 +917,6 @@
 	j.refusals++
 	wait := min(time.Minute, time.Second<<min(j.refusals, mostRefusals))
 	j.refreshAt, j.retryAt = c.now.Add(wait), c.now.Add(wait)
-	j.setAside = j.setAside || j.refusals >= mostRefusals
 }
 
 // divide makes the slices of a split that is recorded. What happened to their
--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -113,6 +113,12 @@
 	if _, known := b.c.Status("job-1"); !known {
 		t.Error("the job is forgotten")
 	}
+	b.c.AllNew(b.now)
+	b.now = b.now.Add(time.Minute)
+	b.report("n-1", "a", 0)
+	if got := sent(b.c.Step(b.now), "job-1"); len(got) != 1 {
+		t.Errorf("once records may be split, it wrote %d changes", len(got))
+	}
 }
 
 // Two jobs compete for one machine, and each is needed by others. Whoever is
