A node that comes long after the election no longer asks without a pause

Cause: the leader's key is older than the 10,000 changes that the state service keeps, so a watch from its stamp gets 410; the key was then read again, at once and for ever. Ruled out: polls (paced), the leader's client (50 a second).

--- a/election/election.go
+++ b/election/election.go
@@ -184,11 +184,20 @@
 }
 
 // await returns when the key changes.
-func (e *Election) await(ctx context.Context, since ids.Stamp) error {
+func (e *Election) await(ctx context.Context, held ids.Stamp) error {
+	since := held
 	for ctx.Err() == nil {
 		epoch, events, err := e.store.Watch(ctx, ledger.LeaderKey, since, 10*time.Second)
 		if errors.Is(err, statestore.ErrTooOld) {
-			return nil
+			// The leader has held the key for longer than the service keeps
+			// changes. Reading the key again would give the same stamp, at once
+			// and for ever; that it still has it tells from where to watch.
+			out, err := e.store.Commit(ctx, statestore.Txn{Guards: []statestore.Guard{{Key: ledger.LeaderKey, Stamp: held}}})
+			if err != nil || !out.Applied {
+				return err
+			}
+			since = max(since, out.Epoch)
+			continue
 		}
 		if err != nil {
 			return err
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -28,6 +28,10 @@
 	next   ids.LeaseID
 	down   bool
 	change chan struct{}
+	// oldest is the revision before which changes are not kept; calls counts the
+	// requests of all nodes.
+	oldest ids.Stamp
+	calls  int
 }
 
 func newService() *service {
@@ -90,6 +94,7 @@
 	defer c.mu.Unlock()
 	c.s.mu.Lock()
 	c.s.sweep()
+	c.s.calls++
 	if c.s.down || c.refused {
 		c.s.mu.Unlock()
 		return statestore.ErrUnavailable
@@ -114,6 +119,9 @@
 	if t.Guards[0].Stamp != s.stamp {
 		return statestore.Outcome{Failed: []string{ledger.LeaderKey}}, nil
 	}
+	if len(t.Apply) == 0 {
+		return statestore.Outcome{Applied: true, Epoch: s.epoch}, nil
+	}
 	if _, ok := s.leases[t.Apply[0].Lease]; !ok {
 		return statestore.Outcome{}, statestore.ErrNoLease
 	}
@@ -160,6 +168,9 @@
 		return 0, nil, err
 	}
 	defer c.s.mu.Unlock()
+	if since < c.s.oldest {
+		return 0, nil, statestore.ErrTooOld
+	}
 	end := time.Now().Add(hold)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		c.s.sweep()
@@ -338,6 +349,34 @@
 	})
 }
 
+// A leader holds its key for longer than the state service keeps changes. A node that
+// comes then cannot watch from the key's stamp: it asked for the key again without a
+// pause, hundreds of times a second. It must watch, and still notice at once when the
+// key goes.
+func TestNodeThatComesLongAfterTheElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, w := newService(), &watcher{holding: map[ids.NodeName]*Term{}}
+		first := w.start(t, s, "n0", 1)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.epoch += 20_000
+		s.oldest, s.calls = s.epoch-10_000, 0
+		s.mu.Unlock()
+		second := w.start(t, s, "n1", 1)
+		time.Sleep(30 * time.Second)
+		if s.calls > 100 {
+			t.Errorf("%d requests in 30 s", s.calls)
+		}
+		w.kill("n0", first)
+		time.Sleep(4 * time.Second)
+		if l, _ := w.leader(); l != "n1" {
+			t.Errorf("%q leads", l)
+		}
+		second.cancel()
+		<-second.gone
+	})
+}
+
 // A later leader heard of from a peer ends the term.
 func TestLaterLeaderEndsTheTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
