--- a/ledger/records.go
+++ b/ledger/records.go
@@ -18,8 +18,8 @@
 	AdmissionPrefix = "admissions/"
 	LeaderKey       = "leader"
 	FleetKey        = "fleet"
-	// FormatKey tells that every controller is known to read what FormatNew
-	// allows.
+	// FormatKey tells that every controller is known to wait for what jobs name,
+	// and to read slices that were split.
 	FormatKey = "format"
 )
 
