--- a/election/election_test.go
+++ b/election/election_test.go
@@ -364,8 +364,11 @@
 		s.mu.Unlock()
 		second := w.start(t, s, "n1", 1)
 		time.Sleep(30 * time.Second)
-		if s.calls > 100 {
-			t.Errorf("%d requests in 30 s", s.calls)
+		s.mu.Lock()
+		calls := s.calls
+		s.mu.Unlock()
+		if calls > 100 {
+			t.Errorf("%d requests in 30 s", calls)
 		}
 		w.kill("n0", first)
 		time.Sleep(4 * time.Second)
