--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -980,21 +980,20 @@
 func (c *Core) mayWrite() bool { return c.opt.WriteRate <= 0 || c.writes >= 1 }
 
 // save turns dirty records into changes, no faster than the state service may
-// be written: placements first, then what is over, then what only lags behind.
+// be written: placements first, then what is over, then what only lags behind. While
+// writes are scarce, as for half a minute after a zone is lost, the ends of jobs go
+// before placements: each is one write, users wait for it, and so may other jobs.
 func (c *Core) save() {
 	c.writes = min(c.opt.WriteRate, c.writes+c.opt.WriteRate*c.now.Sub(c.lastWrites).Seconds())
 	c.lastWrites = c.now
 	if !c.mayWrite() {
 		return
 	}
-	c.saveSlices(true)
-	for _, j := range sortedJobs(c.finishable) {
-		if !c.mayWrite() {
-			return
-		}
-		c.finish(j)
+	if c.writes < c.opt.WriteRate*scarce && !c.finishAll(0) {
+		return
 	}
-	if !c.writeOrphans() {
+	c.saveSlices(true)
+	if !c.finishAll(c.opt.TxnOps-2) || !c.writeOrphans() {
 		return
 	}
 	for _, j := range sortedJobs(c.withdrawn) {
@@ -1006,6 +1005,21 @@
 	c.saveSlices(false)
 }
 
+// scarce is the part of a second's writes below which they are scarce.
+const scarce = 0.5
+
+// finishAll ends the jobs whose tasks are all done, with so many drops each. False
+// means that the rate allows no more.
+func (c *Core) finishAll(drops int) bool {
+	for _, j := range sortedJobs(c.finishable) {
+		if !c.mayWrite() {
+			return false
+		}
+		c.finish(j, drops)
+	}
+	return true
+}
+
 // saveSlices saves the dirty slices that hold placements, or else those that
 // have lagged behind for long enough.
 func (c *Core) saveSlices(urgent bool) {
@@ -1153,7 +1167,7 @@
 
 // finish commits that a job is done, and drops what records it can in the
 // same transaction.
-func (c *Core) finish(j *job) {
+func (c *Core) finish(j *job, most int) {
 	for _, s := range j.slices {
 		if s.inflight {
 			return // its version is not known yet
@@ -1167,7 +1181,7 @@
 	p := &pendingChange{job: j, finish: true, doneMS: c.wallMS()}
 	// The rest of the records is dropped later, and less at once where a change
 	// was refused.
-	most := c.opt.TxnOps>>j.refusals - 2
+	most >>= j.refusals
 	var drops []ledger.SliceVersion
 	for _, s := range j.slices {
 		delete(c.dirty, s)
--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -8,6 +8,8 @@
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/pipeline"
+	"ospreystile.example/ospreystile/scheduler/quota"
 	"ospreystile.example/ospreystile/wire"
 )
 
@@ -192,3 +194,30 @@
 		t.Errorf("changes %+v", e.Changes)
 	}
 }
+
+// When a zone is lost, thousands of placements wait for the write rate. A job whose
+// tasks are all done must not wait behind them: its user, and the jobs that need it,
+// do.
+func TestEndsGoFirstWhileWritesAreScarce(t *testing.T) {
+	b := newBench(t, Options{WriteRate: 4, Teams: []quota.Team{{Name: "red", Nominal: quota.Amount{CPUs: 4096}, Limit: quota.Amount{CPUs: 4096}}}})
+	b.job("job-0", wire.Spec{Tasks: 1, CPUs: 8, MemoryGB: 1, Priority: wire.Normal})
+	b.report("n-0", "a", 0)
+	b.step()
+	b.now = b.now.Add(time.Second)
+	for n := range 60 {
+		b.job(ids.JobID(fmt.Sprintf("job-1%02d", n)), wire.Spec{Tasks: 1, CPUs: 8, MemoryGB: 1, Priority: wire.Critical})
+		b.report(ids.Host(fmt.Sprintf("n-1%02d", n)), "a", 0)
+	}
+	b.step()
+	b.report("n-0", "a", 0, wire.Task{Name: "job-0/0", Attempt: 1, State: wire.TaskEnded, Cause: wire.CauseDone})
+	for range 8 {
+		b.now = b.now.Add(250 * time.Millisecond)
+		b.step()
+	}
+	if s := b.c.graph.Of("job-0").State; s != pipeline.Done {
+		t.Errorf("after 2 s the job is %d", s)
+	}
+	if len(b.c.dirty) == 0 {
+		t.Error("no placement waited")
+	}
+}
