--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -103,29 +103,6 @@
 	return Standing{State: n.state, Priority: n.prio, ReadyMS: n.readyMS, StartByMS: n.startBy()}
 }
 
-// Needs lists the unfinished jobs that a job waits for.
-func (g *Graph) Needs(id ids.JobID) []ids.JobID {
-	return names(g.nodes[id], func(n *node) []*node { return n.needs })
-}
-
-// After lists the jobs that wait for a job.
-func (g *Graph) After(id ids.JobID) []ids.JobID {
-	return names(g.nodes[id], func(n *node) []*node { return n.after })
-}
-
-func names(n *node, of func(*node) []*node) []ids.JobID {
-	if n == nil {
-		return nil
-	}
-	var out []ids.JobID
-	for _, o := range of(n) {
-		if !o.over() {
-			out = append(out, o.id)
-		}
-	}
-	return out
-}
-
 func (g *Graph) node(id ids.JobID) *node {
 	n := g.nodes[id]
 	if n == nil {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -857,28 +857,17 @@
 func (c *Core) refused(p *pendingChange, failed []string) {
 	j := p.job
 	j.finishing = false
-	if p.orphan && len(failed) == 1 {
-		// Its user withdrew it too; the record is on its way.
-		c.orphans = append(c.orphans, j)
-		c.refresh(j, 500*time.Millisecond)
-		return
-	}
 	if len(failed) != 1 || failed[0] != ledger.JobKey(j.id) || j.stamp == 0 {
 		c.broken = fmt.Errorf("records of %s moved without this leader: %v", j.id, failed)
 		return
 	}
 	c.undo(p)
-	if !j.over() {
-		c.refresh(j, 500*time.Millisecond)
+	if p.orphan || !j.over() {
+		j.refreshAt = c.now.Add(500 * time.Millisecond)
+		c.out.Refresh = append(c.out.Refresh, j.id)
 	}
 }
 
-// refresh has a job's record read again, and nothing written for it meanwhile.
-func (c *Core) refresh(j *job, wait time.Duration) {
-	j.refreshAt = c.now.Add(wait)
-	c.out.Refresh = append(c.out.Refresh, j.id)
-}
-
 // undo takes back what a change that was not applied would have recorded.
 func (c *Core) undo(p *pendingChange) {
 	j := p.job
@@ -889,13 +878,14 @@
 		}
 	}
 	switch {
+	case p.orphan:
+		c.orphans = append(c.orphans, j) // unless its user withdrew it too
 	case j.over():
 		c.withdrawn[j] = true
 	case p.finish:
 		c.finishable[j] = true
 	case p.slice != nil:
-		p.slice.dirty, p.slice.urgent = true, true
-		c.dirty[p.slice] = j
+		c.soil(j, p.slice, true)
 	}
 }
 
@@ -911,9 +901,6 @@
 	j := p.job
 	j.finishing = false
 	c.undo(p)
-	if p.orphan {
-		c.orphans = append(c.orphans, j)
-	}
 	j.refusals++
 	wait := min(time.Minute, time.Second<<min(j.refusals, mostRefusals))
 	j.refreshAt, j.retryAt = c.now.Add(wait), c.now.Add(wait)
