A withdrawal is told once a leader that holds its key has taken it in

Cause: a user was told as soon as the record was committed. Its announcement to the leader was a single try without acknowledgement, and withdrawals found by a repetition or a poll were not announced.

Now one function tells withdrawals (node/withdrawals.go): after the word of a leader that surely held its key after its core had the record, by call or by the revision that pings carry. Otherwise 503. A leader that cannot rule out a later one answers workers for cancel_s less a lease only (Bounds.Isolated); with the word of every peer that has run since its key was sure, for the whole grace as before. A successor of such leaders counts on the shorter bound. A return no longer waits for a record on its way.

Ruled out: announcing again in the background, which leaves the user told; a bound on the grace alone, which loses all tasks in each long outage.

TestWithdrawalIsToldOnceALeaderHasTakenItIn fails against the code before (all three ways of telling). TestSubmissionsThatWait and TestReadsThroughAPeerWhenRefusedAlone took a withdrawal for told without any leader; they now have one, and also see 503 before.

--- a/election/election.go
+++ b/election/election.go
@@ -46,12 +46,33 @@
 type Term struct {
 	Stamp ids.Stamp
 
-	clock ids.Clock
-	valid atomic.Int64 // ids.Instant until which the key is surely held
-	asked atomic.Int64 // ids.Instant when the last renewal that ended was begun
-	over  atomic.Bool
-	grace time.Duration
-	end   context.CancelCauseFunc
+	clock  ids.Clock
+	valid  atomic.Int64 // ids.Instant until which the key is surely held
+	asked  atomic.Int64 // ids.Instant when the last renewal that ended was begun
+	over   atomic.Bool
+	bounds Bounds
+	end    context.CancelCauseFunc
+
+	mu sync.Mutex
+	// vouched is when each peer was last asked that then knew of no later leader;
+	// see Vouch.
+	vouched map[ids.NodeName]ids.Instant
+}
+
+// Bounds are how long a leader may go on.
+type Bounds struct {
+	// TTL is how long the leader's key outlives its last renewal.
+	TTL time.Duration
+	// Grace is how long after that a leader may answer workers at most, while
+	// the state service is away.
+	Grace time.Duration
+	// Isolated is the same, counted from the last moment at which all Peers were
+	// known to follow no later leader: what a later one has told users, as that a
+	// job is withdrawn, this one does not know, and it must not keep workers'
+	// leases for longer than such a promise allows.
+	Isolated time.Duration
+	// Peers are the other controllers.
+	Peers []ids.NodeName
 }
 
 // Holds tells whether the key is surely held now.
@@ -64,7 +85,8 @@
 
 // MayAnswer tells whether workers may be answered: while the key is held, and
 // for a bounded grace after it, in which the state service may be away for
-// everyone. A successor counts on that bound. A process that stood still while
+// everyone. It is shorter while a later leader cannot be ruled out. A successor
+// counts on these bounds. A process that stood still while
 // its clocks ran on finds its key expired, and does not know yet whether the
 // state service was away or somebody else leads: it must ask first.
 func (t *Term) MayAnswer() bool {
@@ -73,7 +95,36 @@
 		return false
 	}
 	valid := ids.Instant(t.valid.Load())
-	return now < valid || now < valid.Add(t.grace) && now < ids.Instant(t.asked.Load()).Add(askedWithin)
+	return now < valid || now < valid.Add(t.bounds.Grace) && now < ids.Instant(t.asked.Load()).Add(askedWithin) &&
+		(len(t.bounds.Peers) == 0 || now < t.undisputed(valid).Add(t.bounds.Isolated))
+}
+
+// Vouch takes a peer's word that it knew of no later leader when it was asked. It
+// counts only if the peer's process was running while the key was still surely
+// held: one that was started since may have led before, and not know it.
+func (t *Term) Vouch(peer ids.NodeName, asked, started ids.Instant) {
+	if started >= ids.Instant(t.valid.Load()) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.vouched == nil {
+		t.vouched = map[ids.NodeName]ids.Instant{}
+	}
+	t.vouched[peer] = max(t.vouched[peer], asked)
+}
+
+// undisputed is the latest moment at which there surely was no later leader: the
+// key was held until valid, and whoever led after that was one of the peers, none
+// of which knew of it when it was last asked.
+func (t *Term) undisputed(valid ids.Instant) ids.Instant {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := t.vouched[t.bounds.Peers[0]]
+	for _, p := range t.bounds.Peers {
+		at = min(at, t.vouched[p])
+	}
+	return max(at, valid)
 }
 
 // End ends the term. Nobody is answered in its name from here on, even by work
@@ -93,13 +144,12 @@
 
 // Election takes part for one node.
 type Election struct {
-	store Store
-	self  Holder
-	ttl   time.Duration
-	grace time.Duration
-	clock ids.Clock
-	log   *slog.Logger
-	lead  func(ctx context.Context, t *Term) error
+	store  Store
+	self   Holder
+	bounds Bounds
+	clock  ids.Clock
+	log    *slog.Logger
+	lead   func(ctx context.Context, t *Term) error
 
 	mu     sync.Mutex
 	leader Leader
@@ -107,9 +157,9 @@
 }
 
 // New prepares an election. lead is run for each term, until its context ends.
-func New(store Store, self Holder, ttl, grace time.Duration, clock ids.Clock, log *slog.Logger,
+func New(store Store, self Holder, bounds Bounds, clock ids.Clock, log *slog.Logger,
 	lead func(context.Context, *Term) error) *Election {
-	return &Election{store: store, self: self, ttl: ttl, grace: grace, clock: clock, log: log, lead: lead}
+	return &Election{store: store, self: self, bounds: bounds, clock: clock, log: log, lead: lead}
 }
 
 // Leader is the latest leader that is known; ok is false while there is none.
@@ -217,11 +267,11 @@
 
 func (e *Election) campaign(ctx context.Context, guard ids.Stamp) error {
 	asked := e.clock.Now()
-	lease, err := e.store.Grant(ctx, e.ttl)
+	lease, err := e.store.Grant(ctx, e.bounds.TTL)
 	if err != nil {
 		return err
 	}
-	t := &Term{clock: e.clock, grace: e.grace}
+	t := &Term{clock: e.clock, bounds: e.bounds}
 	t.valid.Store(int64(e.validity(asked)))
 	t.asked.Store(int64(asked))
 	txn := statestore.Txn{
@@ -243,7 +293,7 @@
 
 // validity is until when a lease taken or renewed at a time is surely alive.
 func (e *Election) validity(asked ids.Instant) ids.Instant {
-	return asked.Add(e.ttl - e.ttl/500 - 50*time.Millisecond)
+	return asked.Add(e.bounds.TTL - e.bounds.TTL/500 - 50*time.Millisecond)
 }
 
 // hold leads until the term is over.
@@ -302,13 +352,13 @@
 		case errors.Is(err, statestore.ErrNoLease):
 			t.End(errLost)
 			return
-		case e.clock.Now() >= ids.Instant(t.valid.Load()).Add(t.grace):
+		case e.clock.Now() >= ids.Instant(t.valid.Load()).Add(t.bounds.Grace):
 			t.End(errGrace)
 			return
 		}
-		wait := e.ttl / 4
+		wait := e.bounds.TTL / 4
 		if err != nil {
-			wait = e.ttl / 10
+			wait = e.bounds.TTL / 10
 		}
 		ids.Pause(ctx, wait)
 	}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -219,7 +219,7 @@
 
 func (w *watcher) startOver(t *testing.T, c *client, over Store, name ids.NodeName, inc ids.Incarnation) *member {
 	m := &member{c: c, gone: make(chan struct{})}
-	m.e = New(over, Holder{Name: name, Incarnation: inc}, 3*time.Second, 20*time.Second, ids.Steady(), slog.New(slog.DiscardHandler),
+	m.e = New(over, Holder{Name: name, Incarnation: inc}, Bounds{TTL: 3 * time.Second, Grace: 20 * time.Second}, ids.Steady(), slog.New(slog.DiscardHandler),
 		func(ctx context.Context, term *Term) error {
 			w.mu.Lock()
 			w.holding[name] = term
@@ -450,3 +450,71 @@
 		<-m.gone
 	})
 }
+
+// A leader that finds the state service away cannot tell an outage from a successor
+// that it does not hear of. It may go on for the whole grace only while every other
+// controller, running since before the key was in doubt, says that it knows of none;
+// otherwise for no longer than what a successor may have told its users allows.
+func TestIsolatedLeaderStopsSooner(t *testing.T) {
+	const isolated = 8 * time.Second
+	for _, c := range []struct {
+		name  string
+		vouch func(t *Term, now, began ids.Instant)
+		until time.Duration // after the key was surely held last, give or take
+	}{
+		{"nobody heard", func(*Term, ids.Instant, ids.Instant) {}, isolated},
+		{"one is heard", func(t *Term, now, began ids.Instant) { t.Vouch("n1", now, began) }, isolated},
+		{"one was started since", func(t *Term, now, began ids.Instant) {
+			t.Vouch("n1", now, began)
+			t.Vouch("n2", now, ids.Instant(t.valid.Load()))
+		}, isolated},
+		{"both are heard", func(t *Term, now, began ids.Instant) {
+			t.Vouch("n1", now, began)
+			t.Vouch("n2", now, began)
+		}, 20 * time.Second},
+		{"one is heard for 5 s", func(t *Term, now, began ids.Instant) {
+			t.Vouch("n1", now, began)
+			if now < ids.Instant(t.valid.Load()).Add(5*time.Second) {
+				t.Vouch("n2", now, began)
+			}
+		}, 5*time.Second + isolated},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newService()
+				terms := make(chan *Term, 9)
+				bounds := Bounds{TTL: 3 * time.Second, Grace: 20 * time.Second, Isolated: isolated, Peers: []ids.NodeName{"n1", "n2"}}
+				e := New(&client{s: s}, Holder{Name: "n0"}, bounds, ids.Steady(), slog.New(slog.DiscardHandler), func(ctx context.Context, term *Term) error {
+					terms <- term
+					<-ctx.Done()
+					return context.Cause(ctx)
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- e.Run(ctx) }()
+				term := <-terms
+				time.Sleep(5 * time.Second)
+				began := term.clock.Now().Add(-time.Minute)
+				s.outage(true)
+				time.Sleep(time.Second)
+				valid := ids.Instant(term.valid.Load())
+				var last ids.Instant
+				for range 300 {
+					now := term.clock.Now()
+					if now >= valid && now < valid.Add(25*time.Second) {
+						c.vouch(term, now, began)
+					}
+					if term.MayAnswer() {
+						last = now
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if got := last.Sub(valid); got < c.until-300*time.Millisecond || got > c.until+300*time.Millisecond {
+					t.Errorf("answers for %v after its key, want %v", got, c.until)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -51,10 +51,12 @@
 	catalog  atomic.Pointer[[]wire.MachineType]
 	term     atomic.Pointer[term]
 
-	ended endedJobs
-	polls *polls
-	edge  *edge
-	crowd crowd
+	started ids.Instant
+	ended   endedJobs
+	heeded  heeded
+	polls   *polls
+	edge    *edge
+	crowd   crowd
 	// upgrade tells whether all controllers are known to be of this version.
 	upgrade upgrade
 	// workersHere is the size of the crowd as last counted.
@@ -64,6 +66,7 @@
 // New makes a controller from its settings.
 func New(cfg *config.Platform, op *config.Operator, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, op: op, log: log, clock: ids.Steady()}
+	n.started = n.clock.Now()
 	s := &cfg.Settings
 	n.cloud = cloud.New(cfg.External.Cloud, s.Cloud.RPS)
 	n.workers = worker.New()
@@ -78,7 +81,11 @@
 	n.userState = statestore.New(&userRoute{n, direct}, rps*0.65/nodes)
 	n.intake = ledger.NewCommitter(n.userState, n.limits(), nil, log)
 	self := election.Holder{Name: cfg.HostName, Mesh: cfg.MeshAddr, Incarnation: ids.Incarnation(rand.Uint64())}
-	n.election = election.New(n.leaderState.Urgent(), self, op.LeaseTTL(), op.Grace(), n.clock, log, n.lead)
+	bounds := election.Bounds{TTL: op.LeaseTTL(), Grace: op.Grace(), Isolated: n.isolated()}
+	for _, p := range cfg.Seeds {
+		bounds.Peers = append(bounds.Peers, p.Name)
+	}
+	n.election = election.New(n.leaderState.Urgent(), self, bounds, n.clock, log, n.lead)
 	n.ended.jobs = map[ids.JobID]wire.JobStatus{}
 	n.crowd.seen = map[ids.Host]ids.Instant{}
 	n.edge = &edge{n: n, wake: make(chan struct{}, 1)}
@@ -88,6 +95,15 @@
 	return n
 }
 
+// isolated is for how long a leader that cannot rule out a later one may go on
+// answering workers. A user may have been told since then that a job is withdrawn;
+// the lease that is renewed last must end within cancel_s of that.
+func (n *Node) isolated() time.Duration {
+	w := &n.cfg.Settings.Workers
+	cancel := ids.Seconds(w.CancelS)
+	return max(0, cancel-cancel/500-ids.Drift(ids.Seconds(w.LeaseS))-time.Second)
+}
+
 func (n *Node) limits() ledger.Limits {
 	s := n.cfg.Settings.State.Planned()
 	// A transaction beyond one second's worth of changes never passes the rate.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -114,7 +114,7 @@
 		case refuse.Load():
 			w.WriteHeader(503)
 		case r.URL.Path == "/store":
-			rec := map[string]any{"s": "withdrawn", "n": 3}
+			rec := map[string]any{"s": "withdrawn", "n": 3, "p": map[string]any{"n": 3}}
 			_, _ = w.Write(wire.Encode(map[string]any{"epoch": 9, "entries": []any{map[string]any{"key": "jobs/job-1", "v": rec, "stamp": 7}}}))
 		case r.URL.Path == "/changes":
 			_, _ = w.Write(wire.Encode(map[string]any{"epoch": 9}))
@@ -185,6 +185,11 @@
 	if a := n.Status(ctx, "job-2"); a.Code != 404 {
 		t.Errorf("an unknown job: %+v", a)
 	}
+	// The withdrawal is told only since a leader is known to have taken it in.
+	if a := n.Status(ctx, "job-1"); a.Code != 503 || a.Retry == 0 {
+		t.Errorf("a withdrawal that no leader may know of: %+v", a)
+	}
+	n.pinged(ping{Heeded: 7})
 	a := n.Status(ctx, "job-1")
 	if s, ok := a.Body.(wire.JobStatus); a.Code != 200 || !ok || s.Status != wire.StatusWithdrawn {
 		t.Fatalf("through the peer: %+v", a)
--- a/node/polls.go
+++ b/node/polls.go
@@ -29,6 +29,10 @@
 type known struct {
 	Status string
 	Tasks  int
+	stamp  ids.Stamp
+	// orphan: it is withdrawn with a job that it needs and so never had a task,
+	// whether or not its own record says so yet.
+	orphan bool
 }
 
 func (k known) over() bool { return k.Status == wire.StatusDone || k.Status == wire.StatusWithdrawn }
@@ -47,7 +51,7 @@
 	if !c.loaded {
 		c.jobs, c.graph = map[ids.JobID]known{}, pipeline.New()
 		epoch, err := c.read.List(ctx, ledger.JobPrefix, func(e statestore.Entry) error {
-			c.put(e.Key, e.Value)
+			c.put(e.Key, e.Value, e.Stamp)
 			return nil
 		})
 		if err != nil {
@@ -64,7 +68,7 @@
 	}
 	for _, ev := range events {
 		if ev.Write != "" {
-			c.put(ev.Write, ev.Value)
+			c.put(ev.Write, ev.Value, ev.Stamp)
 		}
 	}
 	c.epoch = max(c.epoch, epoch)
@@ -73,13 +77,13 @@
 
 // put takes a record in. One that can't be read is still that of a job which
 // was accepted: its user must never be told that it is unknown.
-func (c *jobCopy) put(key string, raw []byte) {
+func (c *jobCopy) put(key string, raw []byte, stamp ids.Stamp) {
 	var rec ledger.Job
 	if err := wire.Decode(raw, &rec); err != nil || rec.Status == "" {
 		rec = ledger.Job{Status: wire.StatusQueued}
 	}
 	id := ids.JobID(key[len(ledger.JobPrefix):])
-	c.jobs[id] = known{rec.Status, rec.Tasks}
+	c.jobs[id] = recordOf(&rec, stamp)
 	c.graph.Put(id, rec.Pipeline())
 }
 
@@ -87,8 +91,8 @@
 // needs is, whether or not its own record says so yet.
 func (c *jobCopy) get(id ids.JobID) (known, bool) {
 	k, found := c.jobs[id]
-	if found && c.graph.Of(id).State == pipeline.Withdrawn {
-		k.Status = wire.StatusWithdrawn
+	if found && !k.over() && c.graph.Of(id).State == pipeline.Withdrawn {
+		k.Status, k.orphan = wire.StatusWithdrawn, true
 	}
 	return k, found
 }
--- a/node/routes.go
+++ b/node/routes.go
@@ -116,18 +116,35 @@
 	Stamp   ids.Stamp       `cbor:"5,keyasint"`
 	StateOK bool            `cbor:"6,keyasint"`
 	Workers int             `cbor:"7,keyasint"`
+	// Up is for how long the process has run, and Heeded a revision up to which
+	// withdrawals may be told; see heeded. Older controllers lack both.
+	Up     time.Duration `cbor:"11,keyasint,omitempty"`
+	Heeded ids.Stamp     `cbor:"12,keyasint,omitempty"`
 	versions
 }
 
 func (n *Node) ping() ping {
 	l, _ := n.election.Leader()
-	return ping{n.cfg.HostName, l.Name, l.Mesh, l.Incarnation, l.Stamp, n.stateOK(), int(n.workersHere.Load()), n.versions()}
+	return ping{n.cfg.HostName, l.Name, l.Mesh, l.Incarnation, l.Stamp, n.stateOK(), int(n.workersHere.Load()),
+		n.clock.Now().Sub(n.started), n.heededUpTo(), n.versions()}
 }
 
+// pinged takes in what a peer tells. A leader that it knows only by its stamp, since
+// that one's key is gone already, ends earlier terms as well.
 func (n *Node) pinged(p ping) {
-	if p.Leader != "" {
-		n.election.Observe(election.Leader{Holder: election.Holder{Name: p.Leader, Mesh: p.Mesh, Incarnation: p.Inc}, Stamp: p.Stamp})
+	n.election.Observe(election.Leader{Holder: election.Holder{Name: p.Leader, Mesh: p.Mesh, Incarnation: p.Inc}, Stamp: p.Stamp})
+	n.heeded.raise(p.Heeded)
+}
+
+// vouched hands a peer's answer to a ping to the own term: what it knew of leaders
+// when it was asked.
+func (n *Node) vouched(asked ids.Instant, ans ping) {
+	t := n.election.Term()
+	if t == nil || ans.Stamp > t.Stamp || ans.Up <= 0 {
+		return
 	}
+	// The peer's clock may run fast.
+	t.Vouch(ans.From, asked, n.clock.Now().Add(ans.Up/500-ans.Up))
 }
 
 // gossip keeps in touch with a peer.
@@ -136,6 +153,7 @@
 		n.workersHere.Store(int32(n.crowd.count(n.clock.Now(), n.crowdWindow())))
 		call, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 		var ans ping
+		asked := n.clock.Now()
 		err := p.Call(call, "ping", n.ping(), &ans)
 		cancel()
 		if err == nil {
@@ -145,6 +163,7 @@
 			p.workers.Store(int32(ans.Workers))
 			p.heardVersion(ans)
 			n.pinged(ans)
+			n.vouched(asked, ans)
 		} else {
 			p.Close()
 		}
--- a/node/service.go
+++ b/node/service.go
@@ -134,7 +134,7 @@
 		n.log.Debug("named jobs not read", "job", id, "err", a.err)
 		return false, server.Later(retrySoon)
 	case a.found:
-		return false, n.told(id, a)
+		return false, n.told(ctx, id, a)
 	case !a.accepted:
 		return false, server.Answer{Code: 422}
 	case !n.upgrade.done():
@@ -178,13 +178,13 @@
 	if !a.found {
 		return server.Answer{Code: 404}
 	}
-	return n.told(id, a)
+	return n.told(ctx, id, a)
 }
 
 // told is the answer about a job that was found.
-func (n *Node) told(id ids.JobID, a pollAnswer) server.Answer {
+func (n *Node) told(ctx context.Context, id ids.JobID, a pollAnswer) server.Answer {
 	if a.job.over() {
-		return server.Answer{Code: 200, Body: n.over(id, a.job)}
+		return n.over(ctx, id, a.job)
 	}
 	s := wire.JobStatus{ID: id, Status: a.job.Status, Done: a.Done, Running: a.Running}
 	if s.Running > 0 {
@@ -193,13 +193,26 @@
 	return server.Answer{Code: 200, Body: s}
 }
 
-func (n *Node) over(id ids.JobID, job known) wire.JobStatus {
+// over is the answer about a job that is done or withdrawn, if it may be told.
+func (n *Node) over(ctx context.Context, id ids.JobID, job known) server.Answer {
 	s := wire.JobStatus{ID: id, Status: job.Status}
-	if job.Status == wire.StatusDone {
+	switch {
+	case job.Status == wire.StatusDone:
 		s.Done = job.Tasks
+	case !job.orphan && !n.mayTell(ctx, id, &ledger.Job{Status: job.Status, Tasks: job.Tasks}, job.stamp):
+		a := server.Later(retrySoon)
+		a.Close = true // another node may reach the leader
+		return a
 	}
 	n.ended.put(s)
-	return s
+	return server.Answer{Code: 200, Body: s}
+}
+
+// recordOf is what a job's own record tells.
+func recordOf(rec *ledger.Job, stamp ids.Stamp) known {
+	// Only the leader withdraws without the description: what never had a task.
+	return known{Status: rec.Status, Tasks: rec.Tasks, stamp: stamp,
+		orphan: rec.Status == wire.StatusWithdrawn && rec.Spec == nil}
 }
 
 func (n *Node) readJob(ctx context.Context, id ids.JobID) (*ledger.Job, ids.Stamp, bool, error) {
@@ -265,7 +278,7 @@
 			return server.Answer{Code: 404}
 		}
 		if rec.Over() {
-			return server.Answer{Code: 200, Body: n.over(id, known{rec.Status, rec.Tasks})}
+			return n.over(ctx, id, recordOf(rec, stamp))
 		}
 		out, err := n.commit(ctx, ledger.WithdrawChange(id, stamp, rand.Uint64(), *rec, n.valueBytes()))
 		if err != nil {
@@ -275,22 +288,26 @@
 			return server.Later(refusedLater)
 		}
 		if out.Applied {
-			rec.Status = wire.StatusWithdrawn
-			n.announce(id, rec, out.Stamp)
-			return server.Answer{Code: 200, Body: n.over(id, known{rec.Status, rec.Tasks})}
+			return n.over(ctx, id, known{Status: wire.StatusWithdrawn, Tasks: rec.Tasks, stamp: out.Stamp})
 		}
 	}
 	return server.Later(retrySoon)
 }
 
 // announcement tells the leader about a job at once. The leader's watch finds
-// it too, only later.
+// it too, only later. The answer tells whether the leader had taken it in while it
+// held its key; see mayTell. Older leaders say so once it is in the core's queue.
 type announcement struct {
 	ID    ids.JobID `cbor:"1,keyasint"`
 	Rec   []byte    `cbor:"2,keyasint"`
 	Stamp ids.Stamp `cbor:"3,keyasint"`
 }
 
+func newAnnouncement(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) announcement {
+	return announcement{id, wire.Encode(rec), stamp}
+}
+
+// announce tells of a submission. Nothing hangs on its being heard.
 func (n *Node) announce(id ids.JobID, rec *ledger.Job, stamp ids.Stamp) {
 	if t := n.term.Load(); t != nil {
 		go t.post(t.ctx, func() { t.core.JobSeen(n.clock.Now(), id, rec, stamp) })
@@ -301,11 +318,11 @@
 		return
 	}
 	if p := n.peerNamed(l.Name); p != nil {
-		raw := wire.Encode(rec)
+		a := newAnnouncement(id, rec, stamp)
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			if err := p.Call(ctx, "job", announcement{id, raw, stamp}, nil); err != nil {
+			if err := p.Call(ctx, "job", a, nil); err != nil {
 				n.log.Debug("not announced", "job", id, "err", err)
 			}
 		}()
@@ -420,8 +437,7 @@
 		if err := wire.Decode(a.Rec, rec); err != nil {
 			return nil, err
 		}
-		t.post(ctx, func() { t.core.JobSeen(n.clock.Now(), a.ID, rec, a.Stamp) })
-		return true, nil
+		return t.heed(ctx, a.ID, rec, a.Stamp), nil
 	case "reports":
 		var raws [][]byte
 		if err := mesh.Decode(body, &raws); err != nil {
--- a/node/term.go
+++ b/node/term.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -28,6 +29,8 @@
 	events chan func()
 	ledger *ledger.Committer
 	cloud  *cloud.Client
+	// applied is the revision up to which the core has taken in the jobs' records.
+	applied atomic.Uint64
 	// returns are the machines to give back.
 	returns returnQueue
 	ctx     context.Context
@@ -75,13 +78,18 @@
 
 func (n *Node) options(stamp ids.Stamp, predecessor bool) scheduler.Options {
 	s, op := &n.cfg.Settings, n.op
+	// What an earlier leader may do follows from its version.
+	grace := op.Grace()
+	if n.upgrade.done() {
+		grace = min(grace, n.isolated())
+	}
 	o := scheduler.Options{
 		Stamp:        stamp,
 		Predecessor:  predecessor,
 		Report:       ids.Seconds(s.Workers.ReportS),
 		Lease:        ids.Seconds(s.Workers.LeaseS),
 		Cancel:       ids.Seconds(s.Workers.CancelS),
-		Grace:        op.Grace(),
+		Grace:        grace,
 		ListLag:      ids.Seconds(s.Cloud.ListLagS),
 		TxnOps:       n.limits().Ops,
 		ValueBytes:   n.valueBytes(),
@@ -140,6 +148,7 @@
 	if err != nil {
 		return fmt.Errorf("taking over: %w", err)
 	}
+	t.applied.Store(uint64(since))
 	n.term.Store(t)
 	if n.upgrade.done() { // perhaps only since the records were read
 		t.core.AllNew(n.clock.Now())
@@ -450,6 +459,8 @@
 			t.post(t.ctx, func() { t.core.JobSeen(t.n.clock.Now(), id, &rec, ev.Stamp) })
 		}
 		since = max(since, epoch)
+		upTo := uint64(since)
+		t.post(t.ctx, func() { t.applied.Store(upTo) })
 	}
 }
 
--- a/node/upgrade_test.go
+++ b/node/upgrade_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -48,6 +49,12 @@
 	return s
 }
 
+func (s *smallState) outage(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 func (s *smallState) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,6 +65,8 @@
 	prefix := r.URL.Query().Get("prefix")
 	ans := map[string]any{"epoch": s.epoch}
 	switch {
+	case strings.HasPrefix(r.URL.Path, "/grants"): // leases here never run out
+		ans["hold"] = 1
 	case r.URL.Path == "/commit":
 		var txn struct {
 			Guards []statestore.Guard `msgpack:"guards"`
@@ -133,6 +142,43 @@
 	return n
 }
 
+// leads has a node lead, and be reached by the others at the address returned.
+func (s *smallState) leads(t *testing.T, n *Node) (mesh string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.election.Run(ctx) })
+	mesh = meshOf(t, n)
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	for n.term.Load() == nil {
+		if !ids.Pause(ctx, 5*time.Millisecond) {
+			t.Fatal("nobody leads")
+		}
+	}
+	return mesh
+}
+
+// follow has a node know who leads.
+func follow(n, leader *Node) {
+	n.cfg.HostName = "n-1"
+	l, _ := leader.election.Leader()
+	n.election.Observe(l)
+}
+
+// meshOf serves a node's peers, and returns where.
+func meshOf(t *testing.T, n *Node) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = mesh.Serve(ctx, ln, n.handle, n.log) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return ln.Addr().String()
+}
+
 func waiting(needs ...ids.JobID) *wire.Spec {
 	return &wire.Spec{Class: "c", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", Needs: needs}
 }
@@ -140,10 +186,13 @@
 // Submissions that name others, at two nodes. What is refused as never accepted is
 // refused only when that is known, a retry of what was accepted is answered from
 // its record, and a withdrawal takes along whatever needs the job, at any node and
-// whenever it came, though nobody leads to write so.
+// whenever it came, whether or not the leader has written so.
 func TestSubmissionsThatWait(t *testing.T) {
 	state := newSmallState(t)
-	a, b := state.started(t), state.started(t)
+	a := state.started(t)
+	seed := config.Peer{Name: "n-0", Address: state.leads(t, a)}
+	b := state.started(t, seed)
+	follow(b, a)
 	a.upgrade.durable.Store(true)
 	b.upgrade.durable.Store(true)
 	submit := func(n *Node, id ids.JobID, code int, status string, needs ...ids.JobID) {
@@ -183,9 +232,9 @@
 		t.Errorf("kept %v, %v", rec.Spec, err)
 	}
 
-	state.down = true
+	state.outage(true)
 	submit(b, "job-8", 503, "", "job-none") // unknown is not never accepted
-	state.down = false
+	state.outage(false)
 	if ans := a.Withdraw(t.Context(), "job-1"); ans.Code != 200 {
 		t.Fatalf("withdrawal: %+v", ans)
 	}
@@ -198,7 +247,8 @@
 
 	// While some controller may be old, nothing that names others is taken, and
 	// what was is still answered.
-	old := state.started(t)
+	old := state.started(t, seed)
+	follow(old, a)
 	submit(old, "job-10", 503, "", "job-7")
 	submit(old, "job-10", 422, "", "job-none")
 	submit(old, "job-3", 200, wire.StatusWithdrawn, "job-2")
--- /dev/null
+++ b/node/withdrawals.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+)
+
+// A user who is told that a job is withdrawn may count on its tasks being gone within
+// cancel_s, whatever fails from then on. A leader that the state service refuses, or
+// that is away for everybody, never reads the record; but it goes on renewing the
+// leases of the job's tasks. So a withdrawal is told only once a leader that surely
+// holds its key has taken it in. That one acts on it without the state service; those
+// that come later read the record; and earlier ones cannot renew a lease for long
+// enough (election.Bounds.Isolated). Until then the answer is 503, never an older one.
+//
+// This holds for all ways to tell it: told() is the only one. A job that is withdrawn
+// because one that it needs is never had a task, so nobody renews anything for it.
+
+// heeded is the revision up to which a leader that held its key had taken in all
+// that happened to jobs. It stays true whoever leads, so nodes pass it on.
+type heeded struct{ upTo atomic.Uint64 }
+
+func (h *heeded) raise(to ids.Stamp) {
+	for {
+		was := h.upTo.Load()
+		if uint64(to) <= was || h.upTo.CompareAndSwap(was, uint64(to)) {
+			return
+		}
+	}
+}
+
+func (h *heeded) covers(stamp ids.Stamp) bool { return uint64(stamp) <= h.upTo.Load() }
+
+// heededUpTo is the latest that this node knows of it. Whether the key is held is
+// asked after what the own term has taken in.
+func (n *Node) heededUpTo() ids.Stamp {
+	if t := n.term.Load(); t != nil {
+		if applied := ids.Stamp(t.applied.Load()); t.key.Holds() {
+			n.heeded.raise(applied)
+		}
+	}
+	return ids.Stamp(n.heeded.upTo.Load())
+}
+
+// heedTime is how long the leader may take to take a withdrawal in.
+const heedTime = 700 * time.Millisecond
+
+// mayTell tells whether a withdrawal may be told, and has the leader take it in if
+// that is not known. Without a leader that answers it may not, for now: the next
+// request asks again, and the pings bring what a leader has read by itself.
+func (n *Node) mayTell(ctx context.Context, id ids.JobID, rec *ledger.Job, stamp ids.Stamp) bool {
+	n.heededUpTo()
+	if n.heeded.covers(stamp) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, heedTime)
+	defer cancel()
+	l, ok := n.election.Leader()
+	if t := n.term.Load(); t != nil && l.Stamp == t.key.Stamp {
+		return t.heed(ctx, id, rec, stamp)
+	}
+	p := n.peerNamed(l.Name)
+	if !ok || p == nil {
+		return false
+	}
+	var held bool
+	if err := p.Call(ctx, "job", newAnnouncement(id, rec, stamp), &held); err != nil {
+		n.log.Debug("withdrawal not taken in", "job", id, "err", err)
+		return false
+	}
+	return held
+}
+
+// heed has the core take a job's record in, and tells whether the key was surely
+// held after that.
+func (t *term) heed(ctx context.Context, id ids.JobID, rec *ledger.Job, stamp ids.Stamp) bool {
+	return t.ask(ctx, func() { t.core.JobSeen(t.n.clock.Now(), id, rec, stamp) }) && t.key.Holds()
+}
--- /dev/null
+++ b/node/withdrawals_test.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/config"
+	"ospreystile.example/ospreystile/election"
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/server"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// door is one node's way to the state service, which may refuse it alone.
+func (s *smallState) door(t *testing.T) (addr string, refuse *atomic.Bool) {
+	t.Helper()
+	refuse = new(atomic.Bool)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refuse.Load() {
+			w.WriteHeader(503)
+			return
+		}
+		s.ServeHTTP(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://"), refuse
+}
+
+// until waits for what other goroutines are to bring about.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 4000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// The gap: the state service refuses the leader alone, and jobs are cancelled through
+// another node. Were the user told, and the state service then away for everybody, the
+// leader would go on renewing the leases of the tasks for longer than cancel_s, knowing
+// of nothing. So nobody is told, in whatever way, before a leader that holds its key has
+// taken the withdrawal in; and nobody is told anything older.
+func TestWithdrawalIsToldOnceALeaderHasTakenItIn(t *testing.T) {
+	state := newSmallState(t)
+	addr, refuse := state.door(t)
+	cfg := testConfig(addr)
+	cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.State.ValueKB = 20000, 80, 2
+	op, err := config.ParseOperator(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	op.Leadership.LeaseMS = 300
+	leader := New(cfg, op, slog.New(slog.DiscardHandler))
+	leader.catalog.Store(&[]wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}})
+	seed := config.Peer{Name: "n-0", Address: state.leads(t, leader)}
+	term := leader.term.Load()
+	asked, other := state.started(t, seed), state.started(t, seed)
+	follow(asked, leader)
+	follow(other, leader)
+	ways := map[string]func(n *Node, id ids.JobID) server.Answer{
+		"withdraw": func(n *Node, id ids.JobID) server.Answer { return n.Withdraw(t.Context(), id) },
+		"poll":     func(n *Node, id ids.JobID) server.Answer { return n.Status(t.Context(), id) },
+		"submit":   func(n *Node, id ids.JobID) server.Answer { return n.Submit(t.Context(), id, waiting()) },
+	}
+	check := func(id ids.JobID, told bool, when string) {
+		t.Helper()
+		for _, n := range []*Node{asked, other} {
+			for way, ask := range ways {
+				a := ask(n, id)
+				s, _ := a.Body.(wire.JobStatus)
+				if told && (a.Code != 200 || s.Status != wire.StatusWithdrawn) || !told && (a.Code != 503 || a.Retry == 0) {
+					t.Errorf("%s, %s: %s: %+v", when, way, id, a)
+				}
+			}
+		}
+	}
+	known := func(id ids.JobID) (ok bool) {
+		term.ask(t.Context(), func() { _, ok = term.core.Status(id) })
+		return ok
+	}
+	for _, id := range []ids.JobID{"job-1", "job-2", "job-3"} {
+		if a := asked.Submit(t.Context(), id, waiting()); a.Code != 201 {
+			t.Fatalf("%s: %+v", id, a)
+		}
+		until(t, "the leader knows the job", func() bool { return known(id) })
+	}
+	if a := asked.Withdraw(t.Context(), "job-1"); a.Code != 200 {
+		t.Errorf("the leader holds its key: %+v", a)
+	}
+	if known("job-1") {
+		t.Error("told before the leader has taken it in")
+	}
+	check("job-1", true, "told before")
+
+	refuse.Store(true)
+	until(t, "the leader's key is not surely held", func() bool { return !term.key.Holds() })
+	check("job-2", false, "the leader is refused alone")
+	if known("job-2") || !term.key.MayAnswer() {
+		t.Error("the leader goes on, and did not take in what it was told")
+	}
+	check("job-1", true, "the leader is refused alone")
+	// Nor while nobody leads, as far as this node knows.
+	asked.election.Observe(election.Leader{Stamp: term.key.Stamp + 1})
+	if a := asked.Withdraw(t.Context(), "job-3"); a.Code != 503 {
+		t.Errorf("nobody leads: %+v", a)
+	}
+
+	refuse.Store(false)
+	until(t, "the leader holds its key again", func() bool { return term.key.Holds() })
+	if a := asked.Status(t.Context(), "job-2"); a.Code != 503 {
+		t.Errorf("nobody leads: %+v", a)
+	}
+	// The leader reads the record by itself, and pings bring word of it.
+	until(t, "the leader has read all", func() bool {
+		state.mu.Lock()
+		defer state.mu.Unlock()
+		return ids.Stamp(term.applied.Load()) >= state.keys["jobs/job-3"].Stamp
+	})
+	asked.pinged(leader.ping())
+	check("job-2", true, "the leader holds its key again")
+	check("job-3", true, "the leader holds its key again")
+}
+
+// A leader's word counts only while it holds its key: a later one may not know then
+// what it has taken in.
+func TestLeaderThatMayBeReplacedVouchesForNothing(t *testing.T) {
+	state := newSmallState(t)
+	addr, refuse := state.door(t)
+	op, err := config.ParseOperator(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	op.Leadership.LeaseMS = 300
+	n := New(testConfig(addr), op, slog.New(slog.DiscardHandler))
+	n.catalog.Store(&[]wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}})
+	state.leads(t, n)
+	tm := n.term.Load()
+	state.mu.Lock()
+	state.epoch = 40
+	state.mu.Unlock()
+	until(t, "all is heeded", func() bool { return n.ping().Heeded >= 40 })
+	refuse.Store(true)
+	until(t, "the key is not surely held", func() bool { return !tm.key.Holds() })
+	tm.applied.Store(50)
+	if got := n.ping().Heeded; got >= 50 {
+		t.Errorf("heeded up to %d without the key", got)
+	}
+}
+
+// A peer's answer speaks for what it knew when it was asked, and for no longer than
+// its process has run.
+func TestPeersVouch(t *testing.T) {
+	state := newSmallState(t)
+	cfg := testConfig(state.addr)
+	cfg.Seeds = []config.Peer{{Name: "n-1", Address: "127.0.0.1:5"}}
+	cfg.Settings.Workers.LeaseS, cfg.Settings.Workers.CancelS = 27, 52
+	op, err := config.ParseOperator(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(cfg, op, slog.New(slog.DiscardHandler))
+	if d := n.isolated(); d < 23*time.Second || d > 24*time.Second {
+		t.Errorf("isolated for %v", d)
+	}
+	n.catalog.Store(&[]wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}})
+	state.leads(t, n)
+	if a := n.ping(); a.Up <= 0 {
+		t.Errorf("up for %v", a.Up)
+	}
+	key := n.election.Term()
+	// A peer that has seen a later leader ends the term, though it does not know who
+	// leads now.
+	n.pinged(ping{From: "n-1", Stamp: key.Stamp + 1})
+	until(t, "the term is over", func() bool { return n.election.Term() != key })
+	if key.MayAnswer() {
+		t.Error("answers in the name of an earlier term")
+	}
+}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -81,6 +81,7 @@
 	missing   int // machine lists in a row without it, after it was listed
 	returning bool
 	asking    bool // a return call is on its way
+	returned  bool // the cloud has said that it is gone
 	idleSince ids.Instant
 
 	// errors counts failed tasks since the last that succeeded, by job.
@@ -890,7 +891,7 @@
 	if c.opt.Predecessor {
 		heardBy = c.started.Add(c.opt.Lease)
 	}
-	for _, m := range c.order {
+	for _, m := range slices.Clone(c.order) {
 		if m.asking {
 			continue
 		}
@@ -899,7 +900,11 @@
 		}
 		keep := mass || c.cutOff(m.Zone)
 		if m.returning {
-			c.giveBack(m, "")
+			if m.returned {
+				c.forget(m)
+			} else {
+				c.giveBack(m, "")
+			}
 			continue
 		}
 		switch {
@@ -914,7 +919,7 @@
 			c.giveBack(m, "missing")
 		case !m.reported && m.bootBy != 0 && c.now > max(m.bootBy, heardBy) && len(m.tasks) == 0:
 			c.giveBack(m, "boot")
-		case len(m.tasks) > 0 && c.leaseLost(m) && c.silent(m, c.opt.Lease):
+		case len(m.tasks) > 0 && c.leaseLost(m) && c.silent(m, ids.Drift(c.opt.Lease)):
 			for _, a := range m.sorted() {
 				if !a.saving {
 					c.release(a)
@@ -980,12 +985,8 @@
 	if why != "" {
 		c.returns[why]++
 	}
-	for _, a := range m.tasks {
-		if a.saving {
-			m.returning = true // as soon as the record's outcome is known
-			return
-		}
-	}
+	// What is still being recorded was never sent, so nothing has to wait for the
+	// state service here: a withdrawn job's task beside it must be gone in time.
 	m.returning, m.asking = true, true
 	c.out.Return = append(c.out.Return, m.host)
 	c.changed = true
@@ -1002,6 +1003,7 @@
 		}
 		m.asking = false
 		if ok {
+			m.returned = true
 			c.forget(m)
 		}
 	}
@@ -1014,7 +1016,7 @@
 		}
 	}
 	if len(m.tasks) > 0 {
-		return // a record is being written; the return is asked for again
+		return // a record is being written; it is forgotten after that
 	}
 	for _, j := range m.strayed {
 		c.book.Free(j.spec.Team, j.amount())
--- a/server/server.go
+++ b/server/server.go
@@ -16,11 +16,13 @@
 )
 
 // Answer is a status, a body (nil: none), and how long to wait before asking
-// again (0: not said).
+// again (0: not said). Close ends the connection, so that the load balancer may
+// choose another node for the next request.
 type Answer struct {
 	Code  int
 	Body  any
 	Retry time.Duration
+	Close bool
 }
 
 // Later is the answer when a request can't be served now: at once, with the
@@ -138,6 +140,9 @@
 		secs := int((a.Retry + time.Second - 1) / time.Second)
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(secs))
 	}
+	if a.Close {
+		c.RequestCtx().SetConnectionClose()
+	}
 	if a.Body == nil {
 		return nil
 	}
