--- a/node/polls_test.go
+++ b/node/polls_test.go
@@ -128,7 +128,7 @@
 			rng := rand.New(rand.NewPCG(77, 3))
 			for n := range 60 {
 				id := ids.JobID(fmt.Sprintf("job-%d", n))
-				for i, status := range []string{wire.StatusQueued, wire.StatusDone} {
+				for i, status := range []string{wire.StatusQueued, []string{wire.StatusDone, wire.StatusWithdrawn}[n%2]} {
 					r.write(id, ledger.Job{Status: status, Tasks: 2})
 					mu.Lock()
 					told[id] = max(told[id], i+1)
--- a/node/upgrade_test.go
+++ b/node/upgrade_test.go
@@ -37,6 +37,7 @@
 	keys  map[string]statestore.Entry
 	log   []statestore.Event
 	down  bool
+	lose  int // commits to come that are carried out and not answered
 	addr  string
 }
 
@@ -98,6 +99,10 @@
 			s.keys[op.Write] = statestore.Entry{Key: op.Write, Value: op.Value, Stamp: s.epoch}
 			s.log = append(s.log, statestore.Event{Write: op.Write, Value: op.Value, Stamp: s.epoch})
 		}
+		if s.lose > 0 {
+			s.lose--
+			panic(http.ErrAbortHandler)
+		}
 	case r.URL.Path == "/store":
 		list := []any{}
 		for key, e := range s.keys {
--- a/node/withdrawals_test.go
+++ b/node/withdrawals_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -184,3 +187,63 @@
 		t.Error("answers in the name of an earlier term")
 	}
 }
+
+// A transaction is carried out at once and only its answer is lost, while other nodes
+// read what it wrote, and write on. Whoever asks after an answer gets nothing older,
+// from any node, and the node that waited for its answer least of all.
+func TestNothingOlderAfterLostAnswers(t *testing.T) {
+	rank := map[string]int{wire.StatusQueued: 1, wire.StatusWithdrawn: 2}
+	state := newSmallState(t)
+	a := state.started(t)
+	seed := config.Peer{Name: "n-0", Address: state.leads(t, a)}
+	nodes := []*Node{a, state.started(t, seed), state.started(t, seed)}
+	follow(nodes[1], a)
+	follow(nodes[2], a)
+	for round := range 40 {
+		id := ids.JobID(fmt.Sprintf("job-%d", round))
+		var mu sync.Mutex
+		newest := 0
+		// ask asks a node, and checks against what was told before it was asked.
+		ask := func(what string, f func(context.Context) server.Answer) {
+			mu.Lock()
+			before := newest
+			mu.Unlock()
+			ans := f(t.Context())
+			s, _ := ans.Body.(wire.JobStatus)
+			mu.Lock()
+			defer mu.Unlock()
+			if ans.Code == 503 {
+				return
+			}
+			if now := rank[s.Status]; now < before {
+				t.Errorf("%s %s: %+v after %d", id, what, ans, before)
+			} else {
+				newest = max(newest, now)
+			}
+		}
+		state.mu.Lock()
+		state.lose = round % 4
+		state.mu.Unlock()
+		var users sync.WaitGroup
+		for i, n := range nodes {
+			users.Go(func() {
+				ask("submitted", func(ctx context.Context) server.Answer { return n.Submit(ctx, id, waiting()) })
+				for range 5 {
+					ask("polled", func(ctx context.Context) server.Answer { return n.Status(ctx, id) })
+				}
+				if i == round%3 {
+					ask("cancelled", func(ctx context.Context) server.Answer { return n.Withdraw(ctx, id) })
+				}
+				for range 5 {
+					ask("polled", func(ctx context.Context) server.Answer { return n.Status(ctx, id) })
+					ask("submitted again", func(ctx context.Context) server.Answer { return n.Submit(ctx, id, waiting()) })
+				}
+			})
+		}
+		users.Wait()
+		ask("cancelled again", func(ctx context.Context) server.Answer { return nodes[round%3].Withdraw(ctx, id) })
+		if newest != 2 {
+			t.Errorf("%s: told %d", id, newest)
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/meetings_test.go
@@ -0,0 +1,374 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/wire"
+)
+
+// meeting is a day on which certain troubles are made to meet.
+type meeting struct {
+	*sim
+	all []ids.JobID
+}
+
+func newMeeting(t *testing.T, seed uint64) *meeting {
+	m := &meeting{sim: newSim(t, seed)}
+	m.capacity = 3
+	return m
+}
+
+// jobs submits some, changed by shape.
+func (m *meeting) jobs(count int, shape func(*wire.Spec)) {
+	for range count {
+		sp := m.randomSpec()
+		if shape != nil {
+			shape(sp)
+		}
+		id := ids.JobID(fmt.Sprintf("job-%03d", len(m.all)))
+		m.submit(id, sp)
+		m.all = append(m.all, id)
+	}
+}
+
+func long(sp *wire.Spec) {
+	sp.Service, sp.Gang, sp.OneZone, sp.Zone, sp.EstimateS = true, false, false, "", 0
+}
+
+func array(sp *wire.Spec) {
+	*sp = wire.Spec{Class: "c", Team: sp.Team, Priority: sp.Priority, Tasks: sp.Tasks, CPUs: sp.CPUs, MemoryGB: 2, Image: "i", ImageGB: 1,
+		Spot: sp.Spot, EstimateS: 10}
+}
+
+func (m *meeting) in(d time.Duration) ids.Instant { return m.now.Add(d) }
+
+// some does something to every nth machine.
+func (m *meeting) some(nth int, f func(w *simWorker)) {
+	for i, h := range m.sortedHosts() {
+		if i%nth == 0 {
+			f(m.workers[h])
+		}
+	}
+}
+
+// cancel has users call off every nth job that is not over.
+func (m *meeting) cancel(nth int) {
+	for i, id := range m.all {
+		if i%nth == 0 && !m.cancelled[id] {
+			m.withdraw(id)
+		}
+	}
+}
+
+const s1 = time.Second
+
+// meetings are those of the operators' list that concern what runs where; those that
+// concern answers alone are in packages node and ledger (docs/design.md has the table).
+var meetings = []struct {
+	name  string
+	bring func(m *meeting)
+}{
+	{"old reports after newer ones, also of earlier sessions and attempts", func(m *meeting) {
+		m.copies = 0.6
+		m.jobs(12, nil)
+		for range 8 {
+			m.some(3, func(w *simWorker) { w.cut = m.in(10 * s1) })
+			m.run(12 * s1)
+			m.some(4, func(w *simWorker) { w.deaf = m.in(32 * s1) }) // its session ends
+			m.run(20 * s1)
+		}
+	}},
+	{"jobs bound to one zone lose machines", func(m *meeting) {
+		for range 5 {
+			m.jobs(4, func(sp *wire.Spec) { array(sp); sp.OneZone = true })
+			m.jobs(2, func(sp *wire.Spec) { array(sp); sp.Zone = "b" })
+			m.jobs(2, func(sp *wire.Spec) { long(sp); sp.Tasks, sp.OneZone = 3, true })
+			m.run(15 * s1)
+			m.some(3, func(w *simWorker) { w.dead = w.tenure > 0 })
+			m.some(4, func(w *simWorker) { w.cut = m.in(40 * s1) })
+			m.run(15 * s1)
+			m.takeOver()
+		}
+	}},
+	{"a leader ends while long tasks can't be reached, or don't hear the new one", func(m *meeting) {
+		m.jobs(10, func(sp *wire.Spec) { long(sp); sp.Tasks = 2 })
+		for range 4 {
+			m.run(25 * s1)
+			m.some(2, func(w *simWorker) { w.cut = m.in(35 * s1) })
+			m.some(3, func(w *simWorker) { w.deaf = m.in(50 * s1) })
+			m.takeOver()
+			m.cancel(4)
+			m.run(40 * s1)
+		}
+	}},
+	{"leaders change ten times in two minutes, also inside an outage", func(m *meeting) {
+		m.jobs(14, nil)
+		m.run(30 * s1)
+		for i := range 10 {
+			if i == 3 {
+				m.outage = m.in(40 * s1)
+			}
+			m.cancel(7)
+			m.takeOver()
+			m.run(12 * s1)
+		}
+	}},
+	{"more work than room, urgent and not, over slow links", func(m *meeting) {
+		m.slow = 900 * time.Millisecond
+		for range 6 {
+			m.jobs(10, nil)
+			m.run(20 * s1)
+			m.cancel(9)
+		}
+	}},
+	{"a zone with workers and a controller is cut off for longer than a lease", func(m *meeting) {
+		m.jobs(14, func(sp *wire.Spec) {
+			if sp.Tasks%2 == 0 {
+				long(sp)
+				sp.Spread = false
+			}
+		})
+		m.run(40 * s1)
+		m.deposed()
+		m.island, m.islandUntil = "a", m.in(60*s1)
+		m.cancel(2)
+		m.jobs(6, nil)
+		m.run(90 * s1)
+	}},
+	{"the same, and the cloud is away: only the old leader's own bound is left", func(m *meeting) {
+		m.jobs(14, func(sp *wire.Spec) { long(sp); sp.Spread, sp.Zone, sp.OneZone = false, "a", true })
+		m.run(40 * s1)
+		m.deposed()
+		m.island, m.islandUntil, m.cloudAway = "a", m.in(100*s1), m.in(100*s1)
+		m.cancel(1)
+		m.run(120 * s1)
+	}},
+	{"jobs are cancelled while one controller's work changes hands", func(m *meeting) {
+		for range 5 {
+			m.jobs(5, nil)
+			m.run(20 * s1)
+			m.cancel(4)
+			m.run(300 * time.Millisecond)
+			m.takeOver()
+			m.run(300 * time.Millisecond)
+			m.cancel(3)
+			m.run(15 * s1)
+		}
+	}},
+	{"reports are kept until a new leader begins, or has acted", func(m *meeting) {
+		m.copies = 0.8
+		m.jobs(14, nil)
+		for range 6 {
+			m.run(20 * s1)
+			m.some(3, func(w *simWorker) { w.cut = m.in(15 * s1) })
+			m.cancel(8)
+			m.takeOver()
+			m.run(8 * s1)
+		}
+	}},
+	{"jobs are cancelled through the new leader of one that goes on without state and peers", func(m *meeting) {
+		m.jobs(12, func(sp *wire.Spec) { long(sp); sp.Tasks = 2 })
+		m.run(40 * s1)
+		m.deposed()
+		m.run(500 * time.Millisecond)
+		m.cancel(2)
+		m.run(60 * s1)
+	}},
+	{"a cancellation meets the end of a job's last task", func(m *meeting) {
+		m.cancelAtEnd = 0.7
+		for range 6 {
+			m.jobs(6, func(sp *wire.Spec) { array(sp); sp.Tasks = 1 + sp.Tasks%3 })
+			m.run(20 * s1)
+		}
+		m.takeOver()
+		m.run(20 * s1)
+	}},
+	{"new machines are up at once and get work while writes lag, and the leader ends", func(m *meeting) {
+		m.quickBoots = 1
+		for range 5 {
+			m.jobs(6, array)
+			m.run(time.Duration(500+m.rng.IntN(2500)) * time.Millisecond)
+			m.refusal = m.in(2 * s1) // records wait
+			m.run(time.Duration(200+m.rng.IntN(1500)) * time.Millisecond)
+			m.takeOver()
+			m.run(25 * s1)
+		}
+	}},
+	{"all teams are at their limits while cancelled jobs' machines are cut off or hang, and the leader changes", func(m *meeting) {
+		m.capacity = 6
+		for range 4 {
+			m.jobs(14, func(sp *wire.Spec) { array(sp); sp.Tasks = 6 })
+			m.run(30 * s1)
+			m.cancelRunning(m.all, 6, m.in(45*s1))
+			m.some(3, func(w *simWorker) { w.cut = m.in(40 * s1) })
+			m.run(time.Second)
+			m.takeOver()
+			m.run(20 * s1)
+		}
+	}},
+	{"workers reach no controller, while commands reach them", func(m *meeting) {
+		for range 4 {
+			m.jobs(5, nil)
+			m.run(15 * s1)
+			m.some(2, func(w *simWorker) { w.mute = m.in(40 * s1) })
+			m.cancel(3)
+			m.run(10 * s1)
+			m.takeOver()
+			m.run(30 * s1)
+		}
+	}},
+	{"one-task jobs come four a second, a quarter of them cancelled", func(m *meeting) {
+		m.capacity = 6
+		for i := range 240 {
+			m.jobs(1, func(sp *wire.Spec) { array(sp); sp.Tasks, sp.CPUs = 1, 1 })
+			if i%4 == 3 {
+				m.withdraw(m.all[m.rng.IntN(len(m.all))])
+			}
+			if i == 100 || i == 180 {
+				m.takeOver()
+			}
+			m.run(250 * time.Millisecond)
+		}
+	}},
+	{"the gap: the leader refused alone, cancellations, and then no state service", func(m *meeting) {
+		m.jobs(14, func(sp *wire.Spec) { long(sp); sp.Tasks = 2 })
+		m.run(40 * s1)
+		m.refusal = m.in(14 * s1)
+		m.run(1200 * time.Millisecond)
+		m.cancel(2)
+		m.run(time.Duration(300+m.rng.IntN(1500)) * time.Millisecond)
+		m.outage = m.in(64 * s1)
+		m.cancel(1)
+		m.run(90 * s1)
+	}},
+	{"cancelled through a node that still follows the old leader, and then no state service", func(m *meeting) {
+		m.jobs(14, func(sp *wire.Spec) { long(sp); sp.Tasks = 2 })
+		m.run(40 * s1)
+		m.deposed()
+		m.cancel(2)
+		m.outage = m.in(64 * s1) // before the new leader's watch brings it
+		m.run(90 * s1)
+	}},
+	{"jobs of a few tasks end far apart across a change of leader", func(m *meeting) {
+		for range 8 {
+			m.jobs(4, func(sp *wire.Spec) { array(sp); sp.Tasks = 2 + sp.Tasks%2 })
+			m.run(time.Duration(4+m.rng.IntN(14)) * s1)
+			m.takeOver()
+		}
+		m.run(20 * s1)
+	}},
+	{"controllers hand over and back, all end, and one returns at once", func(m *meeting) {
+		m.jobs(14, nil)
+		for range 6 {
+			m.run(15 * s1)
+			m.takeOver()
+			m.run(300 * time.Millisecond)
+			m.takeOver()
+			m.away, m.old = m.in(time.Duration(100+m.rng.IntN(900))*time.Millisecond), nil
+			m.run(m.away.Sub(m.now))
+			m.takeOver()
+			m.cancel(6)
+		}
+	}},
+	{"transactions without an answer are carried out late", func(m *meeting) {
+		for range 6 {
+			m.jobs(6, nil)
+			m.refusal = m.in(2500 * time.Millisecond) // all that was sent comes at once after it
+			m.run(3 * s1)
+			m.cancel(5)
+			m.run(15 * s1)
+		}
+	}},
+	{"all controllers are away for longer than a lease", func(m *meeting) {
+		m.jobs(14, nil)
+		for range 3 {
+			m.run(30 * s1)
+			m.cancel(5)
+			m.run(time.Second)
+			m.away, m.old = m.in(40*s1), nil
+			m.run(40 * s1)
+			m.takeOver()
+		}
+	}},
+	{"a command or its answer is held up, and the machine then goes on", func(m *meeting) {
+		for range 6 {
+			m.jobs(5, nil)
+			m.run(time.Duration(500+m.rng.IntN(4000)) * time.Millisecond)
+			m.some(2, func(w *simWorker) { w.hung = m.in(time.Duration(2+m.rng.IntN(22)) * s1) })
+			m.cancel(5)
+			m.run(15 * s1)
+		}
+	}},
+}
+
+// TestMeetings brings each meeting about on several days, and then the quiet after it.
+// No rule breaks, whatever is cancelled goes in time, and all else comes to its end.
+func TestMeetings(t *testing.T) {
+	for _, c := range meetings {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				m := newMeeting(t, 1000+seed)
+				c.bring(m)
+				if len(m.broken) > 0 {
+					t.Fatalf("day %d: rules broken: %v", seed, m.broken)
+				}
+				m.toTheEnd(m.all, 20*time.Minute)
+				m.checkOrphans(m.all)
+				if m.starts == 0 {
+					t.Fatalf("day %d: nothing ran", seed)
+				}
+			}
+		})
+	}
+}
+
+// While a machine of a withdrawn job can't be asked, it must be returned before
+// cancel_s; a placement beside it whose record waits for the state service used to
+// hold that back until the end of an outage.
+func TestReturnDoesNotWaitForARecord(t *testing.T) {
+	b := newBench(t, Options{})
+	spec := wire.Spec{Class: "c", Team: "red", Service: true, Tasks: 1, CPUs: 2, Image: "i"}
+	b.job("job-1", spec)
+	b.report("n-1", "a", 0)
+	b.step()
+	if len(verbs(b.report("n-1", "a", 0).Orders, wire.VerbRun)) != 1 {
+		t.Fatal("job-1 was not started")
+	}
+	b.job("job-2", spec)
+	b.now = b.now.Add(time.Second)
+	placed := b.c.Step(b.now).Changes
+	if len(placed) != 1 {
+		t.Fatal("job-2 was not placed beside job-1")
+	}
+	b.c.JobSeen(b.now, "job-1", &ledger.Job{Status: wire.StatusWithdrawn, Tasks: 1, Spec: &spec}, 900)
+	told := b.now
+	for returned := false; !returned; {
+		b.now = b.now.Add(200 * time.Millisecond)
+		if b.now > told.Add(simCancel*3/4) {
+			t.Fatal("not returned in time")
+		}
+		if e := b.c.Step(b.now); len(e.Return) > 0 {
+			b.c.ReturnResult(b.now, e.Return, true)
+			returned = true
+		}
+	}
+	if j := b.c.jobs["job-1"]; j != nil && len(j.active) > 0 {
+		t.Error("what surely went with the machine still counts")
+	}
+	// The record comes through after all: its task was never sent, and waits again.
+	b.c.ChangeResult(b.now, ledger.Outcome{Change: placed[0], Applied: true, Stamp: 901})
+	for range 10 {
+		b.now = b.now.Add(200 * time.Millisecond)
+		if e := b.step(); len(e.Return) > 0 {
+			t.Errorf("returned again: %v", e.Return)
+		}
+	}
+	if j := b.c.jobs["job-2"]; len(j.pending) != 1 || b.c.machines["n-1"] != nil {
+		t.Errorf("waiting: %v, machine known: %v", j.pending, b.c.machines["n-1"] != nil)
+	}
+}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -26,7 +26,13 @@
 	simReport = 3 * time.Second
 	simLease  = 27 * time.Second
 	simCancel = 52 * time.Second
-	simGrace  = 30 * time.Second
+	simGrace  = 90 * time.Second
+	// simIsolated is how long a leader that others may have replaced answers workers
+	// after its key: cancel less a lease, drift and a second.
+	simIsolated = 23800 * time.Millisecond
+	// simKey is how long a leader's key is surely held after the state service
+	// answered it.
+	simKey = 2900 * time.Millisecond
 )
 
 type simEvent struct {
@@ -75,6 +81,7 @@
 	cut    ids.Instant // unreachable until then
 	hung   ids.Instant // executes and says nothing until then, but is reachable
 	deaf   ids.Instant // its reports arrive, but nothing reaches it, until then
+	mute   ids.Instant // its reports do not arrive, but commands reach it, until then
 	loyal  int         // the term to whose leader it reports
 	dead   bool
 	sick   bool
@@ -98,9 +105,17 @@
 	epoch  ids.Stamp
 	store  map[string]simEntry
 	leader ids.Stamp
-	outage ids.Instant
-	core   *Core
-	term   int
+	outage ids.Instant // the state service is away for everybody until then
+	// refusal: the state service refuses the leader alone until then. sure is until
+	// when its key is surely held.
+	refusal, sure ids.Instant
+	cloudAway     ids.Instant // the cloud carries nothing out until then
+	away          ids.Instant // no controller runs until then
+	// island is a zone that until islandUntil is reached by the old leader alone.
+	island      ids.Zone
+	islandUntil ids.Instant
+	core        *Core
+	term        int
 	// old is an earlier leader that lost the state service and its peers, but
 	// not its workers: it goes on until it is deposed or its grace is over.
 	old      *Core
@@ -115,11 +130,18 @@
 	specs     map[ids.JobID]*wire.Spec
 	sent      map[ids.JobID][]simPlace // where tasks were ever told to run
 	completed map[ids.TaskRef]bool
+	// cancelled are the jobs whose users asked for it, withdrawn when they were told.
+	cancelled map[ids.JobID]bool
 	withdrawn map[ids.JobID]ids.Instant
+	lateStart int            // starts after that
+	kept      []*wire.Report // copies of reports that come to the next leader
 	broken    []string
 	starts    int
 	faults    bool
 	capacity  int // machines of each site
+	// slow is added to every message; copies, cancelAtEnd and quickBoots are chances.
+	slow                            time.Duration
+	copies, cancelAtEnd, quickBoots float64
 	// valueBytes and txnOps are the limits of the state service, 0: none, and
 	// refused counts the changes beyond them.
 	valueBytes, txnOps int
@@ -131,7 +153,8 @@
 func newSim(t *testing.T, seed uint64) *sim {
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: ids.Instant(time.Hour), store: map[string]simEntry{},
 		workers: map[ids.Host]*simWorker{}, rented: map[string][]ids.Host{}, specs: map[ids.JobID]*wire.Spec{}, sent: map[ids.JobID][]simPlace{},
-		completed: map[ids.TaskRef]bool{}, withdrawn: map[ids.JobID]ids.Instant{}, faults: true, capacity: 2}
+		completed: map[ids.TaskRef]bool{}, cancelled: map[ids.JobID]bool{}, withdrawn: map[ids.JobID]ids.Instant{}, faults: true, capacity: 2,
+		copies: 0.1, cancelAtEnd: 0.03, quickBoots: 0.1}
 	s.types = []wire.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBps: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []ids.Zone{"a", "b"}},
 		{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBps: 1, Price: 4, SpotPrice: 1.2, BootS: 10, Zones: []ids.Zone{"a", "b", "c"}},
@@ -140,7 +163,7 @@
 		return quota.Team{Name: name, Nominal: quota.Amount{CPUs: nominal}, Limit: quota.Amount{CPUs: limit}, Lend: quota.Amount{CPUs: nominal}}
 	}
 	s.opt = Options{Teams: []quota.Team{team("red", 16, 40), team("blue", 24, 32), team("gold", 8, 60)},
-		Report: simReport, Lease: simLease, Cancel: simCancel, Grace: simGrace, ListLag: 3 * time.Second, TxnOps: 8,
+		Report: simReport, Lease: simLease, Cancel: simCancel, Grace: simIsolated, ListLag: 3 * time.Second, TxnOps: 8,
 		SliceTasks: 4, PassOver: 100, ReclaimHold: 5 * time.Second, Idle: 20 * time.Second, HeadroomIdle: time.Minute,
 		BootFactor: 4, CapacityBack: 5 * time.Second, MaxMachines: 20,
 		PassEvery: 50 * time.Millisecond, PassCost: 10 * time.Microsecond, LazySave: 2 * time.Second, WriteRate: 40, MaxDirect: 6,
@@ -162,6 +185,9 @@
 	if s.chance(0.02) {
 		return time.Duration(5+s.rng.IntN(60)) * time.Second
 	}
+	if s.faults && s.slow > 0 {
+		return time.Duration(s.rng.Int64N(int64(s.slow)))
+	}
 	return time.Duration(1+s.rng.IntN(20)) * time.Millisecond
 }
 
@@ -251,8 +277,9 @@
 	before := s.leader != 0
 	s.old = nil
 	if before && s.chance(0.4) {
-		s.old, s.oldTerm, s.oldUntil = s.core, s.term, s.now.Add(simGrace)
+		s.old, s.oldTerm, s.oldUntil = s.core, s.term, s.now.Add(simIsolated)
 	}
+	s.refusal, s.sure = 0, s.now.Add(simKey)
 	s.commit(nil, []statestore.Op{{Write: ledger.LeaderKey, Value: "x"}})
 	s.leader = s.epoch
 	s.term++
@@ -281,8 +308,23 @@
 		}
 	}
 	s.core.Begin(s.now)
+	for _, rep := range s.kept {
+		s.after(time.Duration(s.rng.IntN(300))*time.Millisecond, func() { s.core.Report(s.now, rep, false) })
+	}
+	s.kept = nil
+}
+
+// deposed puts a new leader in place of one that goes on unseen: it lost the state
+// service and its peers, but not its workers.
+func (s *sim) deposed() {
+	old, term := s.core, s.term
+	s.takeOver()
+	s.old, s.oldTerm, s.oldUntil = old, term, s.now.Add(simIsolated)
 }
 
+// watched tells whether the leader reads what others write.
+func (s *sim) watched() bool { return s.now >= max(s.outage, s.refusal) }
+
 func (s *sim) must(err error) {
 	if err != nil {
 		s.t.Helper()
@@ -290,11 +332,20 @@
 	}
 }
 
+// seen brings a job's record to the leader, as its watch does.
 func (s *sim) seen(id ids.JobID) {
+	if !s.watched() {
+		s.after(max(s.outage, s.refusal).Sub(s.now), func() { s.seen(id) })
+		return
+	}
+	s.bring(s.core, id)
+}
+
+func (s *sim) bring(core *Core, id ids.JobID) {
 	e := s.store[ledger.JobKey(id)]
 	var rec ledger.Job
 	s.must(wire.Decode(e.raw, &rec))
-	s.core.JobSeen(s.now, id, &rec, e.stamp)
+	core.JobSeen(s.now, id, &rec, e.stamp)
 }
 
 func (s *sim) submit(id ids.JobID, spec *wire.Spec) {
@@ -304,7 +355,14 @@
 	s.after(min(s.latency(), 3*time.Second), func() { s.seen(id) })
 }
 
+// withdraw is what a user's cancellation comes to: it is repeated until it is
+// committed, and the user is told once a leader that surely held its key after that
+// has taken it in.
 func (s *sim) withdraw(id ids.JobID) {
+	if s.now < s.outage {
+		s.after(time.Second, func() { s.withdraw(id) })
+		return
+	}
 	key := ledger.JobKey(id)
 	var rec ledger.Job
 	s.must(wire.Decode(s.store[key].raw, &rec))
@@ -313,13 +371,43 @@
 	}
 	c := ledger.WithdrawChange(id, s.store[key].stamp, s.rng.Uint64(), rec, s.opt.ValueBytes)
 	s.commit(c.Guards, c.Apply)
-	s.withdrawn[id] = s.now
+	s.cancelled[id] = true
 	s.after(min(s.latency(), 3*time.Second), func() { s.seen(id) })
+	s.tell(id)
+}
+
+func (s *sim) tell(id ids.JobID) {
+	s.after(min(s.latency(), time.Second), func() {
+		if s.now >= s.away && !s.chance(0.2) {
+			core, holds := s.core, s.now < s.sure
+			if s.old != nil && s.chance(0.5) {
+				// The node that was asked still follows the old leader. What that one
+				// takes in it acts on, but it has lost its key.
+				core, holds = s.old, false
+			}
+			s.bring(core, id)
+			if holds {
+				s.withdrawn[id] = s.now
+				return
+			}
+		}
+		s.after(time.Second, func() { s.tell(id) })
+	})
 }
 
 // step runs the core and carries its decisions out.
 func (s *sim) step() {
-	s.stepOf(s.core, s.term)
+	if s.now < s.away {
+		return
+	}
+	if s.watched() {
+		s.sure = s.now.Add(simKey)
+	} else if s.now >= s.outage && s.now > s.sure {
+		s.deposed() // refused alone for too long
+	}
+	if s.now < s.sure.Add(simGrace) {
+		s.stepOf(s.core, s.term)
+	}
 	if s.old != nil && (s.old.Deposed() || s.now > s.oldUntil) {
 		s.old = nil
 	}
@@ -333,11 +421,12 @@
 func (s *sim) stepOf(core *Core, term int) {
 	current := func(f func()) func() {
 		return func() {
-			if s.term == term || s.old == core {
+			if s.now >= s.away && (s.term == term || s.old == core) {
 				f()
 			}
 		}
 	}
+	reached := func(w *simWorker) bool { return s.now >= s.islandUntil || s.apart(w) == (s.old == core) }
 	e := core.Step(s.now)
 	for _, ch := range e.Changes {
 		s.after(s.latency(), func() { s.change(core, term, ch) })
@@ -355,7 +444,7 @@
 				s.after(w.hung.Sub(s.now), arrive) // a command is read when it goes on
 				return
 			}
-			if w == nil || w.dead || s.now < w.cut || s.now < w.deaf {
+			if w == nil || w.dead || s.now < w.cut || s.now < w.deaf || !reached(w) {
 				return
 			}
 			rep := s.direct(w, d)
@@ -382,7 +471,7 @@
 	for _, h := range e.Show {
 		s.after(s.latency(), current(func() {
 			w := s.workers[h]
-			if w != nil && !w.dead && s.now >= max(w.cut, w.deaf, w.hung) {
+			if w != nil && !w.dead && s.now >= max(w.cut, w.deaf, w.hung) && reached(w) {
 				core.ShowResult(s.now, h, s.report(w))
 			} else {
 				core.ShowResult(s.now, h, nil)
@@ -393,13 +482,13 @@
 		s.after(s.latency(), current(func() { s.seen(id) }))
 	}
 	for _, r := range e.Rent {
-		s.after(80*time.Millisecond, func() {
+		s.after(max(80*time.Millisecond, s.cloudAway.Sub(s.now)), func() {
 			hosts := s.rent(r)
 			current(func() { core.RentResult(s.now, r, hosts, len(hosts) > 0) })()
 		})
 	}
 	if hosts := e.Return; len(hosts) > 0 {
-		s.after(s.latency(), func() {
+		s.after(max(s.latency(), s.cloudAway.Sub(s.now)), func() {
 			for _, h := range hosts {
 				delete(s.workers, h)
 			}
@@ -411,7 +500,7 @@
 // change commits one change of a leader, as the committer does: without an
 // answer it is sent again until its outcome is clear.
 func (s *sim) change(core *Core, term int, ch ledger.Change) {
-	if s.now < s.outage {
+	if s.now < max(s.outage, s.away) || s.now < s.refusal && s.term == term {
 		s.after(500*time.Millisecond, func() { s.change(core, term, ch) })
 		return
 	}
@@ -467,8 +556,11 @@
 		s.workers[w.host] = w
 		out = append(out, w.host)
 		boot := time.Duration(5+s.rng.IntN(10)) * time.Second
-		if s.chance(0.05) {
+		switch {
+		case s.chance(0.05):
 			boot = time.Hour
+		case s.chance(s.quickBoots):
+			boot = time.Duration(500+s.rng.IntN(1500)) * time.Millisecond
 		}
 		s.after(boot, func() { w.dead, w.tenure, w.sentAt = false, 1, s.now })
 	}
@@ -557,8 +649,11 @@
 	t.state = wire.TaskRunning
 	w.soon = true
 	spec := s.specs[t.ref.Job]
-	if when, ok := s.withdrawn[t.ref.Job]; ok && s.now > when.Add(simCancel) {
-		s.breaks("ran_cancelled: %s started", t.ref)
+	if when, ok := s.withdrawn[t.ref.Job]; ok {
+		s.lateStart++
+		if s.now > when.Add(simCancel) {
+			s.breaks("ran_cancelled: %s started", t.ref)
+		}
 	}
 	for _, n := range spec.Needs {
 		if s.status(n) != wire.StatusDone {
@@ -605,6 +700,9 @@
 			t.cause = wire.CauseError
 		} else {
 			s.completed[t.ref] = true
+			if s.chance(s.cancelAtEnd) {
+				s.after(time.Duration(s.rng.IntN(100))*time.Millisecond, func() { s.withdraw(t.ref.Job) })
+			}
 		}
 		w.soon = true
 	}
@@ -654,22 +752,28 @@
 			finish()
 		}
 	})
-	if s.now < w.cut {
+	if s.now < max(w.cut, w.mute, s.away) || s.apart(w) && s.old == nil {
 		return
 	}
 	core := s.core
-	if s.old != nil && w.loyal == s.oldTerm {
+	if s.old != nil && (w.loyal == s.oldTerm && s.now >= s.islandUntil || s.apart(w)) {
 		core = s.old
 	} else {
 		w.loyal = s.term
 	}
-	if s.chance(0.1) { // a copy, from seconds to well over a lease later
+	if s.chance(s.copies) { // a copy, from seconds to well over a lease later
 		s.after(time.Duration(2+s.rng.IntN(90))*time.Second, func() { s.core.Report(s.now, rep, false) })
 	}
+	if s.chance(s.copies) && len(s.kept) < 50 {
+		s.kept = append(s.kept, rep)
+	}
 	s.after(s.latency(), func() {
 		if core != s.core && core != s.old {
 			core = s.core
 		}
+		if s.now < s.away || core == s.core && (s.apart(w) || s.now >= s.sure.Add(simGrace)) {
+			return
+		}
 		orders, ok := core.Report(s.now, rep, false)
 		if !ok {
 			w.loyal = s.term
@@ -692,6 +796,9 @@
 	})
 }
 
+// apart tells whether only an old leader reaches a machine.
+func (s *sim) apart(w *simWorker) bool { return w.zone == s.island && s.now < s.islandUntil }
+
 func (s *sim) list() []wire.Machine {
 	var out []wire.Machine
 	for h, w := range s.workers {
@@ -726,7 +833,11 @@
 		}
 		if tick%20 == 0 {
 			list, asked := s.list(), s.now
-			s.after(3*time.Second, func() { s.core.MachineList(s.now, asked, list) })
+			s.after(3*time.Second, func() {
+				if s.now >= max(s.cloudAway, s.away) {
+					s.core.MachineList(s.now, asked, list)
+				}
+			})
 		}
 		s.step()
 	}
@@ -800,16 +911,142 @@
 func (s *sim) checkOrphans(all []ids.JobID) {
 	s.t.Helper()
 	for _, id := range all {
-		_, byUser := s.withdrawn[id]
+		byUser := s.cancelled[id]
 		if got := s.status(id) == wire.StatusWithdrawn; got != (byUser || s.orphan(id)) {
 			s.t.Errorf("%s is %s; withdrawn by its user: %v, an orphan: %v", id, s.status(id), byUser, s.orphan(id))
 		}
 	}
 }
 
-// TestRulesUnderFaults plays random days with cuts, sick machines, held and
-// repeated messages, outages and takeovers, and checks the users' rules on the
-// machines. When the faults end, every array must come to its end.
+// someWorker is a machine of those there are, or nil.
+func (s *sim) someWorker() *simWorker {
+	hosts := s.sortedHosts()
+	if len(hosts) == 0 {
+		return nil
+	}
+	return s.workers[hosts[s.rng.IntN(len(hosts))]]
+}
+
+// troubles are what may happen at any moment, whatever else goes on.
+var troubles = []struct {
+	name  string
+	weigh int
+	bring func(s *sim, all []ids.JobID, d func(from, to int) ids.Instant)
+}{
+	{"machine cut", 4, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) {
+		if w := s.someWorker(); w != nil {
+			w.cut = d(5, 65)
+		}
+	}},
+	{"machine sick, or well again", 3, func(s *sim, _ []ids.JobID, _ func(int, int) ids.Instant) {
+		if w := s.someWorker(); w != nil {
+			w.sick = !w.sick
+		}
+	}},
+	{"machine dies", 3, func(s *sim, _ []ids.JobID, _ func(int, int) ids.Instant) {
+		if w := s.someWorker(); w != nil && w.tenure > 0 {
+			w.dead = true
+		}
+	}},
+	{"machine hears nothing", 3, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) {
+		if w := s.someWorker(); w != nil {
+			w.deaf = d(5, 95)
+		}
+	}},
+	{"machine says nothing", 3, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) {
+		if w := s.someWorker(); w != nil {
+			w.mute = d(5, 95)
+		}
+	}},
+	{"machine hangs", 3, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) {
+		if w := s.someWorker(); w != nil {
+			w.hung = d(5, 65)
+		}
+	}},
+	{"machine back at once", 2, func(s *sim, _ []ids.JobID, _ func(int, int) ids.Instant) {
+		if w := s.someWorker(); w != nil && w.tenure > 0 && !w.dead {
+			w.tasks, w.tick, w.sentAt = nil, 0, s.now
+			w.tenure++
+		}
+	}},
+	{"another leader", 4, func(s *sim, _ []ids.JobID, _ func(int, int) ids.Instant) { s.takeOver() }},
+	{"leaders in a row", 1, func(s *sim, _ []ids.JobID, _ func(int, int) ids.Instant) {
+		for i := range 3 {
+			s.after(time.Duration(i)*700*time.Millisecond, s.takeOver)
+		}
+	}},
+	{"no state service", 2, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) { s.outage = d(5, 65) }},
+	{"leader refused alone", 2, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) { s.refusal = d(1, 20) }},
+	{"leader goes on unseen", 2, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) {
+		s.deposed()
+		s.island, s.islandUntil = ids.Zone([]string{"a", "b", "c"}[s.rng.IntN(3)]), d(5, 60)
+	}},
+	{"no controller", 1, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) {
+		s.away = d(1, 40)
+		s.old = nil
+		s.after(s.away.Sub(s.now), s.takeOver)
+	}},
+	{"no cloud", 1, func(s *sim, _ []ids.JobID, d func(int, int) ids.Instant) { s.cloudAway = d(5, 40) }},
+	{"slow links", 1, func(s *sim, _ []ids.JobID, _ func(int, int) ids.Instant) {
+		s.slow = time.Duration(s.rng.IntN(800)) * time.Millisecond
+		s.after(20*time.Second, func() { s.slow = 0 })
+	}},
+	{"jobs that run are cancelled, and their machines hang", 2, func(s *sim, all []ids.JobID, d func(int, int) ids.Instant) {
+		s.cancelRunning(all, 2, d(5, 60))
+	}},
+}
+
+// trouble brings one of them about.
+func (s *sim) trouble(all []ids.JobID) {
+	sum := 0
+	for _, t := range troubles {
+		sum += t.weigh
+	}
+	n := s.rng.IntN(sum)
+	for _, t := range troubles {
+		if n -= t.weigh; n < 0 {
+			t.bring(s, all, func(from, to int) ids.Instant {
+				return s.now.Add(time.Duration(from+s.rng.IntN(to-from)) * time.Second)
+			})
+			return
+		}
+	}
+}
+
+// cancelRunning has users call off some jobs that run, and hangs their machines until
+// a time: before, while or after they are told.
+func (s *sim) cancelRunning(all []ids.JobID, count int, hang ids.Instant) {
+	for _, id := range all {
+		if count == 0 {
+			return
+		}
+		if s.cancelled[id] {
+			continue
+		}
+		hosts := map[ids.Host]bool{}
+		for _, p := range s.sent[id] {
+			if p.t.state == wire.TaskRunning && s.here(p.w, p.t) && !s.expired(p.w) {
+				hosts[p.w.host] = true
+			}
+		}
+		if len(hosts) == 0 {
+			continue
+		}
+		count--
+		s.after(time.Duration(s.rng.IntN(200))*time.Millisecond, func() { s.withdraw(id) })
+		s.after(time.Duration(s.rng.IntN(200))*time.Millisecond, func() {
+			for h := range hosts {
+				if w := s.workers[h]; w != nil {
+					w.hung = max(w.hung, hang)
+				}
+			}
+		})
+	}
+}
+
+// TestRulesUnderFaults plays random days on which all troubles may meet, and checks
+// the users' rules on the machines. When the faults end, every array must come to its
+// end, and no job may be left waiting beside room.
 func TestRulesUnderFaults(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -825,43 +1062,14 @@
 				if len(all) > 0 && s.rng.IntN(5) == 0 {
 					s.withdraw(all[s.rng.IntN(len(all))])
 				}
-				hosts := s.sortedHosts()
-				if len(hosts) > 0 {
-					w := s.workers[hosts[s.rng.IntN(len(hosts))]]
-					switch s.rng.IntN(10) {
-					case 5:
-						w.hung = s.now.Add(time.Duration(5+s.rng.IntN(60)) * time.Second)
-					case 3:
-						w.deaf = s.now.Add(time.Duration(5+s.rng.IntN(90)) * time.Second)
-					case 4: // back within a fraction of a second, as a new session
-						if w.tenure > 0 && !w.dead {
-							w.tasks, w.tick, w.sentAt = nil, 0, s.now
-							w.tenure++
-						}
-					case 0:
-						w.cut = s.now.Add(time.Duration(5+s.rng.IntN(60)) * time.Second)
-					case 1:
-						w.sick = !w.sick
-					case 2:
-						if w.tenure > 0 {
-							w.dead = true
-						}
-					}
-				}
-				if s.rng.IntN(6) == 0 {
-					s.takeOver()
-				}
-				if s.rng.IntN(12) == 0 {
-					s.outage = s.now.Add(time.Duration(5+s.rng.IntN(20)) * time.Second)
+				for range 1 + s.rng.IntN(2) {
+					s.trouble(all)
 				}
 				s.run(time.Duration(2+s.rng.IntN(12)) * time.Second)
 				if len(s.broken) > 0 {
 					t.Fatalf("rules broken: %v", s.broken)
 				}
 			}
-			for _, w := range s.workers {
-				w.sick = false
-			}
 			s.toTheEnd(all, 20*time.Minute)
 			s.checkOrphans(all)
 			if s.starts == 0 {
@@ -934,6 +1142,11 @@
 func (s *sim) toTheEnd(all []ids.JobID, within time.Duration) {
 	s.t.Helper()
 	s.faults = false
+	s.outage, s.refusal, s.cloudAway, s.islandUntil = min(s.outage, s.now), min(s.refusal, s.now), min(s.cloudAway, s.now), 0
+	for _, w := range s.workers {
+		w.sick = false
+		w.cut, w.deaf, w.mute, w.hung = min(w.cut, s.now), min(w.deaf, s.now), min(w.mute, s.now), min(w.hung, s.now)
+	}
 	for _, id := range all {
 		if s.specs[id].Service {
 			s.withdraw(id)
--- a/wire/spec_test.go
+++ b/wire/spec_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// Only what may be null may be left out, and nothing may be of another type.
+func TestEveryFieldIsNeeded(t *testing.T) {
+	for key := range submission() {
+		may := slices.Contains([]string{"frames", "hall", "dueS", "news"}, key)
+		m := submission()
+		delete(m, key)
+		if _, _, err := ParseSubmission(Encode(m)); (err == nil) != may {
+			t.Errorf("without %s: %v", key, err)
+		}
+		m[key] = nil
+		if _, _, err := ParseSubmission(Encode(m)); (err == nil) != may {
+			t.Errorf("%s null: %v", key, err)
+		}
+		for _, odd := range []any{map[string]any{}, []any{map[string]any{}}, -1, true, 7.5} {
+			m[key] = odd
+			_, _, err := ParseSubmission(Encode(m))
+			_, whole := odd.(int)
+			_, amount := submission()[key].(float64)
+			_, flag := submission()[key].(bool)
+			fits := key == "news" || odd == true && flag || odd == 7.5 && amount || key == "dueS" && odd == 7.5
+			if (err == nil) != fits || whole && err == nil && key != "news" {
+				t.Errorf("%s = %v: %v", key, odd, err)
+			}
+		}
+	}
+}
+
 func TestHostileBodiesAreErrors(t *testing.T) {
 	good := Encode(submission())
 	bodies := [][]byte{nil, {}, {0xc1}, {0xc0}, []byte("{}"), Encode([]int{1}), Encode("x"), append(good, 0),
