--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -1153,8 +1153,10 @@
 		}
 	}
 	const part = 10 * time.Second
+	beside := map[ids.JobID]time.Duration{}
 	for passed := time.Duration(0); passed < within; passed += part {
 		s.run(part)
+		s.checkWaiting(all, beside, part)
 		if s.allOver(all) {
 			break
 		}
@@ -1167,6 +1169,49 @@
 	}
 }
 
+// checkWaiting sees that no job is left waiting for 90 s while a machine that fits has
+// room and its team is under its limit, by what is on the machines.
+func (s *sim) checkWaiting(all []ids.JobID, beside map[ids.JobID]time.Duration, passed time.Duration) {
+	used := map[ids.Team]float64{}
+	free := map[*simWorker]float64{}
+	for _, w := range s.workers {
+		if w.tenure == 0 || s.expired(w) {
+			continue
+		}
+		free[w] = s.typeOf(w).CPUs
+		for _, t := range w.tasks {
+			if t.state != wire.TaskEnded {
+				free[w] -= s.specs[t.ref.Job].CPUs
+				used[s.specs[t.ref.Job].Team] += s.specs[t.ref.Job].CPUs
+			}
+		}
+	}
+	for _, id := range all {
+		sp := s.specs[id]
+		need := sp.CPUs
+		if sp.Service || sp.Gang {
+			need *= float64(sp.Tasks)
+		}
+		room := false
+		for w, f := range free {
+			room = room || f >= sp.CPUs && (sp.Spot || !w.spot) && (sp.Zone == "" || sp.Zone == w.zone) &&
+				(len(sp.Types) == 0 || slices.Contains(sp.Types, w.typ))
+		}
+		begun := slices.ContainsFunc(s.sent[id], func(p simPlace) bool { return s.here(p.w, p.t) && p.t.state != wire.TaskEnded })
+		ready := !slices.ContainsFunc(sp.Needs, func(n ids.JobID) bool { return s.status(n) != wire.StatusDone })
+		i := slices.IndexFunc(s.opt.Teams, func(t quota.Team) bool { return t.Name == sp.Team })
+		if begun || !room || !ready || s.status(id) != wire.StatusQueued || used[sp.Team]+need > s.opt.Teams[i].Limit.CPUs ||
+			(sp.Gang || sp.Service) && sp.Tasks > 1 {
+			delete(beside, id)
+			continue
+		}
+		if beside[id] += passed; beside[id] >= 90*time.Second {
+			s.breaks("%s waits beside room: %+v", id, *sp)
+			delete(beside, id)
+		}
+	}
+}
+
 func (s *sim) unfinished(all []ids.JobID) []string {
 	var out []string
 	for _, id := range all {
