Mistaken jobs condemn no machine, late boots are replaced, standing still is nobody's fault

Jobs that fail on every machine: two of them condemned each healthy machine that both had tried; and nothing looked at a job again when its backoff was over unless something else happened. A job that failed on three machines without success is now taken for the cause: its failures no longer count against machines, its rounds back off, and after two rounds it is tried task by task, evicting nobody. A pass comes when a backoff or a quarantine ends.

A machine that takes 1.7 times as long as its type did lately is not counted as coming. What the leader itself stood still is no run time of tasks, no deafness, no late boot.

TestMistakenJobsCondemnNoMachine, TestLateMachinesAreReplaced, TestStandingStillIsNobodysFault fail without them.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -26,9 +26,14 @@
 func (c *Core) waiting() []*job {
 	var out []*job
 	for _, j := range c.jobs {
-		if j.ready && !j.over() && !j.setAside && j.refusals < mostRefusals && len(j.pending) > 0 && c.now >= j.retryAt {
-			out = append(out, j)
+		if !j.ready || j.over() || j.setAside || j.refusals >= mostRefusals || len(j.pending) == 0 || len(j.active) > 0 && j.probes() {
+			continue
+		}
+		if c.now < j.retryAt {
+			c.passBy(j.retryAt) // nothing else may happen until then
+			continue
 		}
+		out = append(out, j)
 	}
 	sort.Slice(out, func(i, k int) bool {
 		a, b := out[i], out[k]
@@ -256,6 +261,9 @@
 		}
 		placed = append(placed, c.place(j, i, m))
 		s.took(m)
+		if j.probes() {
+			break
+		}
 		if begins && !whole {
 			c.changed = true
 			break // the rest has no more right than others
@@ -314,7 +322,7 @@
 			continue
 		}
 		// Time alone lets a job have room kept, or lose it again.
-		c.recheck = c.now.Add(time.Second)
+		c.passBy(c.now.Add(time.Second))
 		if c.now < j.waits.Add(c.opt.KeepAfter) {
 			continue
 		}
@@ -523,7 +531,7 @@
 func (c *Core) offer(j *job, m *machine) placement.Offer {
 	o := placement.Offer{Site: m.Site, Free: m.free(), Total: m.total,
 		Cached:  m.images[j.spec.Image] != nil,
-		Suspect: j.failedOn[m.host] > 0 || c.now < m.slowUntil || len(m.errors) > 0 && c.now < m.lastError.Add(quarantineFor)}
+		Suspect: j.failedOn[m.host] != 0 || c.now < m.slowUntil || len(m.errors) > 0 && c.now < m.lastError.Add(quarantineFor)}
 	if m.Spot {
 		o.SpotRisk = c.spotRisk(j)
 	}
@@ -546,7 +554,7 @@
 	}
 	r.tally()
 	for _, j := range waiting {
-		if len(j.pending) == 0 {
+		if len(j.pending) == 0 || j.probes() {
 			continue
 		}
 		r.zones = maps.Clone(j.zones)
@@ -834,7 +842,7 @@
 
 // option tells what it would cost to make room on a machine.
 func (r *room) option(j *job, m *machine, by claim) (option, bool) {
-	if !placement.Allowed(j.spec, m.Site) || j.failedOn[m.host] > 0 {
+	if !placement.Allowed(j.spec, m.Site) || r.c.avoids(j, m) {
 		return option{}, false
 	}
 	need, free := placement.Of(j.spec), r.coming(m)
--- a/scheduler/buy.go
+++ b/scheduler/buy.go
@@ -102,7 +102,7 @@
 	}
 	for _, m := range c.order {
 		p.Held[m.Site]++
-		if !m.reported && !m.returning && m.typ != nil {
+		if !m.reported && !m.returning && m.typ != nil && !c.late(m) {
 			p.Coming(m.Site, m.free())
 		}
 	}
@@ -132,6 +132,33 @@
 	c.returnIdle()
 }
 
+// lateBoot is how many times as long as its type's boot, as it has been lately, a
+// machine may take before it counts as late.
+const lateBoot = 1.7
+
+// late tells whether a machine takes so long to come up that it may never do so. What
+// waits for it has another rented in its place, unless all of its type take as long
+// now: then another would come no sooner.
+func (c *Core) late(m *machine) bool {
+	if m.reported || m.typ == nil || !m.ours {
+		return false
+	}
+	usual := max(1, c.boots[m.Type])
+	return c.now > m.known.Add(ids.Seconds(lateBoot*usual*m.typ.BootS)+c.opt.Report)
+}
+
+// noteBoot takes in how long a machine took to come up, as a part of its type's time.
+func (c *Core) noteBoot(m *machine) {
+	if m.typ == nil || !m.ours || m.typ.BootS <= 0 {
+		return
+	}
+	took := min(c.now.Sub(m.known).Seconds()/m.typ.BootS, c.opt.BootFactor)
+	if was := c.boots[m.Type]; was > 0 {
+		took = 0.8*was + 0.2*took
+	}
+	c.boots[m.Type] = took
+}
+
 const (
 	// mostRented is the protocol's limit for one rental.
 	mostRented = 50
@@ -170,7 +197,10 @@
 			// The most that fit; that more fit whenever fewer do makes the
 			// search by halves right.
 			n := sort.Search(len(j.pending)-counted[j], func(n int) bool { return !c.fitsQuota(j, nominal, n+1) })
-			if n == 0 {
+			if j.probes() {
+				n = min(n, 1-counted[j])
+			}
+			if n <= 0 {
 				continue
 			}
 			c.book.Take(j.spec.Team, j.amount().Times(n))
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -124,7 +124,8 @@
 	sent       bool
 	seen       bool
 	phase      string
-	since      ids.Instant // when the phase began, as far as known
+	since      ids.Instant   // when the phase began, as far as known
+	stood      time.Duration // Core.stood at that time
 	stop       stopReason
 	stopAt     ids.Instant
 	graceS     float64
@@ -190,8 +191,9 @@
 	// coldOK: no machine that holds the image can take the job's tasks, so
 	// others may.
 	coldOK    bool
-	failedOn  map[ids.Host]int
+	failedOn  map[ids.Host]ids.Instant // when last
 	succeeded int
+	rounds    int                          // in which it failed everywhere, since it last succeeded
 	ran       map[ids.Host][]time.Duration // tasks that were seen from start to end
 }
 
@@ -236,7 +238,8 @@
 	from        map[ids.Zone]*zoneState
 	lastHeard   ids.Instant // when any machine was last heard
 	lastStep    ids.Instant
-	resumed     ids.Instant // when steps went on after a time without any
+	resumed     ids.Instant   // when steps went on after a time without any
+	stood       time.Duration // all such times together
 	book        *quota.Book
 	on          map[work]onMachines
 	backoff     *fleet.Backoff
@@ -269,7 +272,8 @@
 	renting     map[placement.Site]int // machines asked for
 	bookings    map[placement.Site]int // rentals under way
 	peaks       map[string]*peak
-	paces       map[string]float64 // by class, how long tasks ran against their estimates
+	paces       map[string]float64          // by class, how long tasks ran against their estimates
+	boots       map[ids.MachineType]float64 // how long boots took lately against the catalog
 	out         Effects
 
 	returns map[string]int // machines given back, by reason
@@ -327,6 +331,7 @@
 		peaks:      map[string]*peak{},
 		returns:    map[string]int{},
 		paces:      map[string]float64{},
+		boots:      map[ids.MachineType]float64{},
 		writes:     opt.WriteRate,
 	}
 	c.SetCatalog(types)
@@ -680,11 +685,12 @@
 	}
 	c.notePace(a)
 	if a.phase == wire.TaskRunning {
-		c.noteEstimate(a.job.spec, c.now.Sub(a.since))
+		c.noteEstimate(a.job.spec, c.ran(a))
 	}
 	j.tasks[a.index].state = taskDone
 	j.done++
 	j.succeeded++
+	j.rounds, j.backoff = 0, 0
 	c.touch(j, a.index, false)
 	if j.done == len(j.tasks) {
 		c.finishable[j] = true
@@ -938,13 +944,28 @@
 // still to be read.
 const stoodStill = time.Second
 
-// Step runs what time and events call for and hands out the decisions.
-func (c *Core) Step(now ids.Instant) Effects {
+// awake moves the time on, and notices that the leader did not run for a while.
+func (c *Core) awake(now ids.Instant) {
 	c.now = now
-	if now > c.lastStep.Add(stoodStill) {
+	if gap := now.Sub(c.lastStep); gap > stoodStill {
 		c.resumed = now
+		if c.lastStep != 0 {
+			c.stood += gap
+		}
 	}
 	c.lastStep = now
+}
+
+// passBy sees that a pass comes by a time, whether or not anything happens.
+func (c *Core) passBy(at ids.Instant) {
+	if c.recheck == 0 || at < c.recheck {
+		c.recheck = at
+	}
+}
+
+// Step runs what time and events call for and hands out the decisions.
+func (c *Core) Step(now ids.Instant) Effects {
+	c.awake(now)
 	if c.watchSoon || now >= c.lastWatch.Add(watchEvery) {
 		c.watchSoon, c.lastWatch = false, now
 		c.watchMachines()
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -87,6 +87,7 @@
 	// errors counts failed tasks since the last that succeeded, by job.
 	errors     map[ids.JobID]int
 	quarantine ids.Instant
+	condemned  bool // the quarantine is for its errors
 	lastError  ids.Instant
 	// pace is a running mean of how many times as long tasks took here as
 	// others of their jobs did, as a power of 2.
@@ -209,7 +210,7 @@
 // that came as answers to direct commands: they renew no lease. ok is false if
 // this leader must not answer.
 func (c *Core) Report(now ids.Instant, rep *wire.Report, direct bool) (answer wire.Orders, ok bool) {
-	c.now = now
+	c.awake(now)
 	if rep.Token.Stamp() > c.opt.Stamp {
 		c.deposed = true
 		return wire.Orders{}, false
@@ -231,6 +232,9 @@
 	}
 	c.setSite(m, placement.Site{Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot}, rep.Endpoint)
 	c.hear(m, rep, direct)
+	if now > m.lastHeard.Add(c.opt.Report) {
+		c.changed = c.changed || !c.usable(m) // it may be from here on
+	}
 	m.lastHeard = now
 	c.lastHeard = now
 	z := c.from[rep.Zone]
@@ -276,7 +280,7 @@
 // told long ago to start.
 func (c *Core) unheeded(m *machine, rep *wire.Report) bool {
 	for _, a := range m.list {
-		if a.sent && !a.seen && a.stop == stopNone && c.now > a.sentAt.Add(c.hearWithin()) &&
+		if a.sent && !a.seen && a.stop == stopNone && c.now > max(a.sentAt, c.resumed).Add(c.hearWithin()) &&
 			!slices.ContainsFunc(rep.Tasks, func(t wire.Task) bool { return t.Attempt == a.attempt && t.Name == a.ref().String() }) {
 			return true
 		}
@@ -289,6 +293,7 @@
 	if !m.reported {
 		m.reported = true
 		m.idleSince = c.now
+		c.noteBoot(m)
 		c.changed = true
 	}
 	m.tenure, m.tick = rep.Tenure, rep.Tick
@@ -357,7 +362,7 @@
 	}
 	if a.phase != s.state {
 		a.phase = s.state
-		a.since = c.now
+		a.since, a.stood = c.now, c.stood
 		if s.state == wire.TaskRunning {
 			c.noteImage(a)
 		}
@@ -430,7 +435,7 @@
 	if j.ran == nil {
 		j.ran = map[ids.Host][]time.Duration{}
 	}
-	j.ran[a.m.host] = append(j.ran[a.m.host], max(c.now.Sub(a.since), 100*time.Millisecond))
+	j.ran[a.m.host] = append(j.ran[a.m.host], max(c.ran(a), 100*time.Millisecond))
 	if j.done+1 < len(j.tasks) {
 		return
 	}
@@ -459,22 +464,40 @@
 		}
 		m.slowUntil = c.now.Add(slowFor)
 		if m.slowFor++; m.slowFor >= slowJobs {
-			m.quarantine = c.now.Add(quarantineFor)
+			m.quarantine, m.condemned = c.now.Add(quarantineFor), false
 		}
 	}
 }
 
+// ran is how long a task has been in its phase, without what the leader itself stood
+// still: what began or ended meanwhile is heard of only after it.
+func (c *Core) ran(a *assignment) time.Duration { return c.now.Sub(a.since) - (c.stood - a.stood) }
+
 func (c *Core) avoid(j *job, m *machine) {
 	if j.failedOn == nil {
-		j.failedOn = map[ids.Host]int{}
+		j.failedOn = map[ids.Host]ids.Instant{}
 	}
-	j.failedOn[m.host]++
+	j.failedOn[m.host] = c.now
+	c.passBy(c.now.Add(avoidFor))
+}
+
+// avoids tells whether a job keeps off a machine where it failed a while ago. It
+// must not for ever: there may be no other machine for it.
+func (c *Core) avoids(j *job, m *machine) bool {
+	at, failed := j.failedOn[m.host]
+	return failed && c.now < at.Add(avoidFor)
 }
 
 const (
+	avoidFor      = 45 * time.Second
 	quarantineFor = 2 * time.Minute
 	backoffFirst  = 2 * time.Second
 	backoffMost   = time.Minute
+	// failedPlaces is on how many machines a job fails, without one success, until
+	// the fault is taken to be its own.
+	failedPlaces = 3
+	// probeRounds is after how many rounds of that it is tried task by task.
+	probeRounds = 2
 )
 
 // taskFailed weighs whether the machine or the job is at fault. Failures of
@@ -483,22 +506,51 @@
 func (c *Core) taskFailed(a *assignment) {
 	m, j := a.m, a.job
 	c.avoid(j, m)
-	m.errors[j.id]++
-	m.lastError = c.now
-	total := 0
-	for _, n := range m.errors {
-		total += n
+	if j.rounds == 0 {
+		m.errors[j.id]++
+		m.lastError = c.now
+		total := 0
+		for _, n := range m.errors {
+			total += n
+		}
+		if len(m.errors) >= 2 || total >= 2 && len(j.failedOn) == 1 {
+			m.quarantine, m.condemned = c.now.Add(quarantineFor), true
+		}
 	}
-	if len(m.errors) >= 2 || total >= 2 && len(j.failedOn) == 1 {
-		m.quarantine = c.now.Add(quarantineFor)
+	if j.succeeded > 0 || len(j.failedOn) < failedPlaces && j.rounds == 0 {
+		return
 	}
-	if len(j.failedOn) >= 3 && j.succeeded == 0 {
+	if j.rounds == 0 {
+		c.acquit(j)
+	}
+	clear(j.failedOn)
+	if c.now >= j.retryAt { // the rest of a round fails with its first
+		j.rounds++
 		j.backoff = min(max(2*j.backoff, backoffFirst), backoffMost)
 		j.retryAt = c.now.Add(j.backoff)
-		clear(j.failedOn)
 	}
 }
 
+// acquit takes back what a job that fails everywhere has laid to machines' charge. A
+// few of them, submitted with a mistake, would condemn one healthy machine after
+// another.
+func (c *Core) acquit(j *job) {
+	for _, m := range c.order {
+		if m.errors[j.id] == 0 {
+			continue
+		}
+		delete(m.errors, j.id)
+		if m.condemned && len(m.errors) < 2 {
+			m.quarantine, m.condemned = 0, false
+		}
+	}
+	c.changed = true
+}
+
+// probes tells whether a job has failed everywhere for so long that one task at a time
+// is tried: it must not hold the room that others need until its user cancels it.
+func (j *job) probes() bool { return j.rounds >= probeRounds && !j.whole() }
+
 // countStrays takes what a worker has beyond the records into account: its
 // room on the machine and its team's quota.
 func (c *Core) countStrays(m *machine) {
@@ -892,6 +944,9 @@
 		heardBy = c.started.Add(c.opt.Lease)
 	}
 	for _, m := range slices.Clone(c.order) {
+		if m.quarantine != 0 && c.now >= m.quarantine {
+			m.quarantine, c.changed = 0, true
+		}
 		if m.asking {
 			continue
 		}
@@ -917,7 +972,7 @@
 				c.spotLosses++
 			}
 			c.giveBack(m, "missing")
-		case !m.reported && m.bootBy != 0 && c.now > max(m.bootBy, heardBy) && len(m.tasks) == 0:
+		case !m.reported && m.bootBy != 0 && c.now > max(m.bootBy, heardBy, c.resumed.Add(2*c.opt.Report)) && len(m.tasks) == 0:
 			c.giveBack(m, "boot")
 		case len(m.tasks) > 0 && c.leaseLost(m) && c.silent(m, ids.Drift(c.opt.Lease)):
 			for _, a := range m.sorted() {
