A guest team without guarantee and limits may borrow: its jobs got 422, every one

Cause: 0 for cpus_max and gpus_max was read as "may use none", so each job of a guest was impossible.

--- a/config/config.go
+++ b/config/config.go
@@ -25,7 +25,7 @@
 	Address string       `toml:"address"`
 }
 
-// Team is a team's guarantee and limit. A limit of 0 means none may be used.
+// Team is a team's guarantee and limit; see Limited.
 type Team struct {
 	Name    ids.Team `toml:"name"`
 	CPUs    float64  `toml:"cpus"`
@@ -34,6 +34,11 @@
 	GPUsMax float64  `toml:"gpus_max"`
 }
 
+// Limited tells whether the team has a limit. 0 means none: a guest, with neither
+// guarantee nor limit, may borrow whatever is idle. Of a team that has one limit, 0
+// means that it may use none of the other kind.
+func (t Team) Limited() bool { return t.CPUsMax > 0 || t.GPUsMax > 0 }
+
 // Objective is one of the users' aims on starting and finishing.
 type Objective struct {
 	Kind    string  `toml:"kind"`
@@ -203,7 +208,7 @@
 			return fmt.Errorf("settings.teams[%d].name: %q appears twice", i, t.Name)
 		case t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0:
 			return fmt.Errorf("settings.teams[%d]: %q has a negative amount", i, t.Name)
-		case t.CPUs > t.CPUsMax || t.GPUs > t.GPUsMax:
+		case t.Limited() && (t.CPUs > t.CPUsMax || t.GPUs > t.GPUsMax):
 			return fmt.Errorf("settings.teams[%d]: %q is guaranteed more than its limit", i, t.Name)
 		}
 		seen[t.Name] = true
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// A guest team comes with zeroes for its guarantee and its limits: it has neither. Its
+// jobs used to get 422, every one.
+func TestGuestTeamHasNoLimit(t *testing.T) {
+	for text, limited := range map[string]bool{
+		"cpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0": false,
+		"cpus = 4.0\ncpus_max = 0.0":                             false,
+		"cpus = 0.0\ncpus_max = 8.0":                             true,
+		"gpus = 0.0\ngpus_max = 1.0":                             true,
+	} {
+		p, err := ParsePlatform([]byte(strings.Replace(good, "cpus = 4.0\ncpus_max = 8.0", text, 1)))
+		if err != nil || p.Settings.Teams[0].Limited() != limited {
+			t.Errorf("%s: %+v, %v", text, p, err)
+		}
+	}
+}
+
 func TestLimitsToCome(t *testing.T) {
 	read := func(next string) (*Platform, error) {
 		return ParsePlatform([]byte(strings.Replace(good, "[settings.cloud]", next+"\n[settings.cloud]", 1)))
--- a/node/service.go
+++ b/node/service.go
@@ -43,7 +43,7 @@
 		if s.Service || s.Gang {
 			need = need.Times(s.Tasks)
 		}
-		if !need.Within(quota.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}) {
+		if !need.Within(limitOf(*t)) {
 			return false
 		}
 		return slices.ContainsFunc(types, func(t wire.MachineType) bool {
--- a/node/term.go
+++ b/node/term.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ospreystile.example/ospreystile/cloud"
+	"ospreystile.example/ospreystile/config"
 	"ospreystile.example/ospreystile/election"
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/ledger"
@@ -120,7 +121,7 @@
 			lend.CPUs = min(l, lend.CPUs)
 		}
 		o.Teams = append(o.Teams, quota.Team{Name: t.Name, Nominal: nominal,
-			Limit: quota.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}, Lend: lend})
+			Limit: limitOf(t), Lend: lend})
 	}
 	for _, a := range s.Objectives {
 		// No machine boots within a few seconds, whatever the catalog says.
@@ -131,6 +132,14 @@
 	return o
 }
 
+// limitOf is the most that a team's tasks may use at any time.
+func limitOf(t config.Team) quota.Amount {
+	if !t.Limited() {
+		return quota.Unlimited
+	}
+	return quota.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}
+}
+
 func newTerm(n *Node, key *election.Term) *term {
 	fence := &statestore.Guard{Key: ledger.LeaderKey, Stamp: key.Stamp}
 	return &term{n: n, key: key, events: make(chan func(), 64), cloud: n.cloud.While(key.MayAnswer),
--- a/scheduler/quota/quota.go
+++ b/scheduler/quota/quota.go
@@ -3,6 +3,7 @@
 package quota
 
 import (
+	"math"
 	"sort"
 
 	"ospreystile.example/ospreystile/ids"
@@ -15,6 +16,9 @@
 // Amount is a bundle of what quota counts.
 type Amount struct{ CPUs, GPUs float64 }
 
+// Unlimited is more than anything.
+var Unlimited = Amount{CPUs: math.Inf(1), GPUs: math.Inf(1)}
+
 // Plus adds.
 func (a Amount) Plus(b Amount) Amount { return Amount{a.CPUs + b.CPUs, a.GPUs + b.GPUs} }
 
