Idle-time work begins: a job that starved has one task's room kept from all but critical work

Cause: room was kept only from work of the job's priority and below, and what was lent went to others first, so a guest's idle-time job could wait for as long as more urgent work took each gap. A job of any priority that could not begin for two and a half times keep_after_s now has the first choice of room and of what is lent, for one task (a service whole), which is not stopped for 45 s. Critical work, and what must start sooner than a boot, still goes before it. The plain model knows the rule.

The log tells starving=N.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -21,6 +21,40 @@
 	return !j.begun && c.opt.KeepAfter > 0 && c.now > j.came.Add(2*c.opt.KeepAfter)
 }
 
+// starvesAfter is after how many times KeepAfter a job that could not begin has room
+// kept from work of higher priority too.
+const starvesAfter = 2.5
+
+// starves tells whether a job of whatever priority has waited to begin for so long that
+// it must, as every job does within four minutes where limits allow. Idle-time work
+// would never see room where more urgent work takes each gap. One task is little.
+func (c *Core) starves(j *job) bool {
+	return !j.begun && c.opt.KeepAfter > 0 && c.now > j.came.Add(time.Duration(starvesAfter*float64(c.opt.KeepAfter)))
+}
+
+// starvingFirst lists waiting jobs with those that starve before all others.
+func (c *Core) starvingFirst(waiting []*job) []*job {
+	if !slices.ContainsFunc(waiting, c.starves) {
+		return waiting
+	}
+	out := make([]*job, 0, len(waiting))
+	for _, starving := range []bool{true, false} {
+		for _, j := range waiting {
+			if c.starves(j) == starving {
+				out = append(out, j)
+			}
+		}
+	}
+	return out
+}
+
+// keptFrom tells whether a machine's room is kept for another job. Critical work, and
+// what must start sooner than a machine boots, goes before those that starve.
+func (c *Core) keptFrom(m *machine, j *job) bool {
+	k := m.keptFor
+	return k != nil && k != j && (k.prio >= j.prio || j.prio < wire.Critical && !c.hasty(j) && c.starves(k))
+}
+
 // waiting lists the jobs with tasks to place: by priority, then those that must
 // begin, then by creation time, or for pipelines by when they became ready.
 func (c *Core) waiting() []*job {
@@ -132,6 +166,9 @@
 	borrower := map[ids.Team]wire.Priority{}
 	for _, nominal := range []bool{true, false} {
 		passed := 0
+		if !nominal { // what is lent goes to those that starve first
+			waiting = c.starvingFirst(waiting)
+		}
 		for _, j := range waiting {
 			if len(j.pending) == 0 {
 				continue
@@ -245,7 +282,7 @@
 func (c *Core) admitIn(j *job, nominal, whole bool) (noRoom bool) {
 	var placed []*assignment
 	var s *search
-	begins := c.mustBegin(j)
+	begins, starves := c.mustBegin(j), c.starves(j)
 	for k := len(j.pending) - 1; k >= 0; k-- {
 		if !c.fitsQuota(j, nominal, 1) {
 			break
@@ -264,7 +301,7 @@
 		if j.probes() {
 			break
 		}
-		if begins && !whole {
+		if (begins || starves) && !whole {
 			c.changed = true
 			break // the rest has no more right than others
 		}
@@ -287,7 +324,7 @@
 // is sent once the record is committed.
 func (c *Core) place(j *job, i int, m *machine) *assignment {
 	j.tasks[i].attempt++
-	a := &assignment{job: j, index: i, attempt: j.tasks[i].attempt, m: m, since: c.now}
+	a := &assignment{job: j, index: i, attempt: j.tasks[i].attempt, m: m, since: c.now, sheltered: c.starves(j)}
 	c.attach(a)
 	return a
 }
@@ -317,7 +354,7 @@
 		kept++
 		held[k] = append(held[k], m)
 	}
-	for _, j := range waiting {
+	for _, j := range c.starvingFirst(waiting) {
 		if j.begun {
 			continue
 		}
@@ -328,10 +365,13 @@
 		}
 		if j.keptSince != 0 && c.now > j.keptSince.Add(c.opt.KeepFor) {
 			j.waits, j.keptSince = c.now.Add(-c.opt.KeepAfter/2), 0
+			if c.starves(j) { // at once, elsewhere
+				j.waits = c.now.Add(-c.opt.KeepAfter)
+			}
 			continue
 		}
 		n := j.together()
-		if !c.fitsQuota(j, false, n) {
+		if !c.fitsQuota(j, false, n) && !c.starves(j) {
 			continue // room is not what it waits for
 		}
 		kept += c.keepFor(j, n, held[j], kept)
@@ -436,7 +476,7 @@
 		if !s.need.Within(m.free()) || !placement.Allowed(j.spec, m.Site) || j.only != "" && m.Zone != j.only {
 			continue
 		}
-		if k := m.keptFor; k != nil && k != j && k.prio >= j.prio {
+		if c.keptFrom(m, j) {
 			continue // it would never begin
 		}
 		if hasty && m.images[j.spec.Image] == nil {
@@ -842,7 +882,7 @@
 
 // option tells what it would cost to make room on a machine.
 func (r *room) option(j *job, m *machine, by claim) (option, bool) {
-	if !placement.Allowed(j.spec, m.Site) || r.c.avoids(j, m) {
+	if !placement.Allowed(j.spec, m.Site) || r.c.avoids(j, m) || r.c.keptFrom(m, j) && r.c.starves(m.keptFor) {
 		return option{}, false
 	}
 	need, free := placement.Of(j.spec), r.coming(m)
@@ -881,7 +921,7 @@
 	if m.victims == nil {
 		m.victims = make([]victim, 0, len(m.list))
 		for _, a := range m.list {
-			if a.stop == stopNone {
+			if a.stop == stopNone && !r.c.sheltered(a) {
 				m.victims = append(m.victims, victim{a, r.c.lossOf(a)})
 			}
 		}
@@ -891,6 +931,14 @@
 	return m.victims
 }
 
+// shelter is how long the first tasks of a job that starved run undisturbed: stopped at
+// once, they would have begun for nothing.
+const shelter = 45 * time.Second
+
+func (c *Core) sheltered(a *assignment) bool {
+	return a.sheltered && (a.phase != wire.TaskRunning || c.ran(a) < shelter)
+}
+
 // victims picks the tasks on a machine whose end loses least.
 func (r *room) victims(j *job, m *machine, by claim, need, room placement.Resources) (out []*assignment, cost float64, ok bool) {
 	// With no quota left, the victims must free that as well.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -127,6 +127,7 @@
 	since      ids.Instant   // when the phase began, as far as known
 	stood      time.Duration // Core.stood at that time
 	stop       stopReason
+	sheltered  bool // a first task of a job that starved
 	stopAt     ids.Instant
 	graceS     float64
 	killAt     ids.Instant
@@ -1238,8 +1239,11 @@
 // Summary is one line about the state of things, for the log.
 func (c *Core) Summary() string {
 	var b strings.Builder
-	var pend, act, up, boot int
+	var pend, act, up, boot, starving int
 	for _, j := range c.jobs {
+		if j.ready && !j.over() && c.starves(j) {
+			starving++
+		}
 		pend += len(j.pending)
 		act += len(j.active)
 	}
@@ -1250,7 +1254,8 @@
 			boot++
 		}
 	}
-	fmt.Fprintf(&b, "jobs=%d waiting=%d placed=%d machines=%d usable=%d booting=%d", len(c.jobs), pend, act, len(c.order), up, boot)
+	fmt.Fprintf(&b, "jobs=%d waiting=%d starving=%d placed=%d machines=%d usable=%d booting=%d",
+		len(c.jobs), pend, starving, act, len(c.order), up, boot)
 	for i, name := range []string{stopNone: "lost", stopWithdrawn: "withdrawn", stopPreempted: "preempted", stopDrained: "drained"} {
 		fmt.Fprintf(&b, " %s=%d/%.0f", name, c.lost[i].tasks, c.lost[i].cpuS)
 	}
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -337,8 +337,25 @@
 	}
 	placedAt := map[ids.TaskRef]*machine{}
 	var out []string
+	// waited tells whether a job that has not begun has waited for so many times as long
+	// as it takes to have room kept.
+	waited := func(j *job, times float64) bool {
+		for ref := range placedAt {
+			if ref.Job == j.id {
+				return false
+			}
+		}
+		return !j.begun && c.opt.KeepAfter > 0 && c.now.Sub(j.came) > time.Duration(times*float64(c.opt.KeepAfter))
+	}
 	borrower := map[ids.Team]wire.Priority{}
 	for _, nominal := range []bool{true, false} {
+		if !nominal { // those that starve have the first choice of what is lent
+			early := map[*job]bool{}
+			for _, j := range jobs {
+				early[j] = waited(j, 2.5)
+			}
+			sort.SliceStable(jobs, func(i, k int) bool { return early[jobs[i]] && !early[jobs[k]] })
+		}
 		for _, j := range jobs {
 			if nominal && j.spec.Priority < borrower[j.spec.Team] {
 				continue
@@ -368,9 +385,13 @@
 			}
 			var got []int
 			// place puts tasks one by one, into the given zone only if one is given.
+			one := !whole && waited(j, 2)
 			place := func(only ids.Zone) {
 				got = nil
-				for _, i := range wait {
+				for n, i := range wait {
+					if n > 0 && one {
+						break // the rest has no more right than others
+					}
 					if !fits(j, nominal, 1) {
 						break
 					}
@@ -396,7 +417,8 @@
 								}
 							}
 						}
-						if k := m.keptFor; k != nil && k != j && k.spec.Priority >= j.spec.Priority {
+						if k := m.keptFor; k != nil && k != j &&
+							(k.spec.Priority >= j.spec.Priority || j.spec.Priority < wire.Critical && waited(k, 2.5)) {
 							continue
 						}
 						if !placement.Allowed(j.spec, m.Site) || !placement.Of(j.spec).Within(room[m.host].free) || !zones.Admits(j.spec, m.Zone) {
--- a/scheduler/ops_test.go
+++ b/scheduler/ops_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/scheduler/placement"
+	"ospreystile.example/ospreystile/scheduler/quota"
 	"ospreystile.example/ospreystile/wire"
 )
 
@@ -204,3 +207,73 @@
 		t.Errorf("ran for %v", ran)
 	}
 }
+
+// Idle-time work of a guest found each gap taken by others' work of higher priority, and
+// began after seven and ten minutes. Its first task must begin within four, and run on for
+// a while; beyond that it takes nothing from the others.
+func TestIdleTimeWorkBegins(t *testing.T) {
+	play := func(keep time.Duration) (began, ran time.Duration, most int) {
+		limit := quota.Amount{CPUs: 48}
+		b := newBench(t, Options{KeepAfter: keep, KeepFor: 90 * time.Second, Teams: []quota.Team{
+			{Name: "red", Nominal: quota.Amount{CPUs: 40}, Limit: limit, Lend: quota.Amount{CPUs: 40}},
+			{Name: "guest", Limit: quota.Unlimited}}})
+		b.c.Begin(b.now)
+		start := b.now
+		on := map[ids.Host][]wire.Task{}
+		until := map[string]ids.Instant{}
+		var first ids.Instant
+		for s := range 420 {
+			b.now = b.now.Add(time.Second)
+			if s%2 == 0 {
+				b.job(ids.JobID(fmt.Sprintf("job-s%d", s)), wire.Spec{Class: "c", Tasks: 4, CPUs: 2, Priority: wire.Normal})
+			}
+			if s == 20 {
+				b.job("job-guest", wire.Spec{Class: "g", Team: "guest", Tasks: 9, CPUs: 8})
+			}
+			b.step()
+			guests := 0
+			for h := range 6 {
+				host := ids.Host(fmt.Sprintf("n-%d", h))
+				for i, tk := range on[host] {
+					if strings.HasPrefix(tk.Name, "job-guest") {
+						guests++
+					} else if b.now > until[tk.Name] {
+						on[host][i].State, on[host][i].Cause = wire.TaskEnded, wire.CauseDone
+					}
+				}
+				o := b.report(host, "a", ids.NewToken(5, 900), on[host]...)
+				for _, order := range o.Orders {
+					name := order.Name
+					switch order.Verb {
+					case wire.VerbRun:
+						on[host] = append(on[host], wire.Task{Name: name, Attempt: order.Attempt, State: wire.TaskRunning})
+						until[name] = b.now.Add(time.Duration(5+(s*7+len(on[host])*3)%11) * time.Second)
+						if first == 0 && strings.HasPrefix(name, "job-guest") {
+							first, began = b.now, b.now.Sub(start)-20*time.Second
+						}
+					case wire.VerbKill:
+						if strings.HasPrefix(name, "job-guest") && ran == 0 {
+							ran = b.now.Sub(first)
+						}
+						for i := range on[host] {
+							if on[host][i].Name == name {
+								on[host][i].State, on[host][i].Cause = wire.TaskEnded, wire.CauseStopped
+							}
+						}
+					case wire.VerbReap:
+						on[host] = slices.DeleteFunc(on[host], func(tk wire.Task) bool { return tk.Name == name && tk.Attempt == order.Attempt })
+					}
+				}
+			}
+			most = max(most, guests)
+		}
+		return began, ran, most
+	}
+	if began, _, _ := play(0); began != 0 {
+		t.Fatalf("it began after %v without the rule: the day tests nothing", began)
+	}
+	began, ran, most := play(time.Minute)
+	if began == 0 || began > 4*time.Minute || ran != 0 && ran < 30*time.Second || most > 1 {
+		t.Errorf("it began after %v, was stopped after %v, and had %d tasks at once", began, ran, most)
+	}
+}
