--- a/node/node.go
+++ b/node/node.go
@@ -53,7 +53,7 @@
 
 	started ids.Instant
 	ended   endedJobs
-	heeded  heeded
+	acked   acked
 	polls   *polls
 	edge    *edge
 	crowd   crowd
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -189,7 +189,7 @@
 	if a := n.Status(ctx, "job-1"); a.Code != 503 || a.Retry == 0 {
 		t.Errorf("a withdrawal that no leader may know of: %+v", a)
 	}
-	n.pinged(ping{Heeded: 7})
+	n.pinged(ping{Acked: 7})
 	a := n.Status(ctx, "job-1")
 	if s, ok := a.Body.(wire.JobStatus); a.Code != 200 || !ok || s.Status != wire.StatusWithdrawn {
 		t.Fatalf("through the peer: %+v", a)
--- a/node/routes.go
+++ b/node/routes.go
@@ -116,24 +116,24 @@
 	Stamp   ids.Stamp       `cbor:"5,keyasint"`
 	StateOK bool            `cbor:"6,keyasint"`
 	Workers int             `cbor:"7,keyasint"`
-	// Up is for how long the process has run, and Heeded a revision up to which
-	// withdrawals may be told; see heeded. Older controllers lack both.
-	Up     time.Duration `cbor:"11,keyasint,omitempty"`
-	Heeded ids.Stamp     `cbor:"12,keyasint,omitempty"`
+	// Up is for how long the process has run, and Acked a revision up to which
+	// withdrawals may be told; see acked. Older controllers lack both.
+	Up    time.Duration `cbor:"11,keyasint,omitempty"`
+	Acked ids.Stamp     `cbor:"12,keyasint,omitempty"`
 	versions
 }
 
 func (n *Node) ping() ping {
 	l, _ := n.election.Leader()
 	return ping{n.cfg.HostName, l.Name, l.Mesh, l.Incarnation, l.Stamp, n.stateOK(), int(n.workersHere.Load()),
-		n.clock.Now().Sub(n.started), n.heededUpTo(), n.versions()}
+		n.clock.Now().Sub(n.started), n.ackedRevision(), n.versions()}
 }
 
 // pinged takes in what a peer tells. A leader that it knows only by its stamp, since
 // that one's key is gone already, ends earlier terms as well.
 func (n *Node) pinged(p ping) {
 	n.election.Observe(election.Leader{Holder: election.Holder{Name: p.Leader, Mesh: p.Mesh, Incarnation: p.Inc}, Stamp: p.Stamp})
-	n.heeded.raise(p.Heeded)
+	n.acked.raise(p.Acked)
 }
 
 // vouched hands a peer's answer to a ping to the own term: what it knew of leaders
--- a/node/service.go
+++ b/node/service.go
@@ -437,7 +437,7 @@
 		if err := wire.Decode(a.Rec, rec); err != nil {
 			return nil, err
 		}
-		return t.heed(ctx, a.ID, rec, a.Stamp), nil
+		return t.acknowledge(ctx, a.ID, rec, a.Stamp), nil
 	case "reports":
 		var raws [][]byte
 		if err := mesh.Decode(body, &raws); err != nil {
--- a/node/upgrade.go
+++ b/node/upgrade.go
@@ -15,7 +15,10 @@
 // This file is all there is of compatibility with controllers that know nothing of
 // waiting and of split records: until each of them is known to have been replaced,
 // no job that names others is accepted and no record is split. Everything else is
-// written as they write and read it. The file can go, with scheduler's AllNew and
+// written as they write and read it. A leader before that may be an older one, which
+// goes on alone for the whole grace: term.options counts on that. And an older one
+// acknowledges withdrawals without saying whether it holds its key: mayTell takes that,
+// as older followers do. The file can go, with scheduler's AllNew and
 // Options.Split, once no deployment is left whose state lacks ledger.FormatKey; what
 // asks done() then takes it for true.
 
--- a/node/withdrawals.go
+++ b/node/withdrawals.go
@@ -17,51 +17,51 @@
 // that come later read the record; and earlier ones cannot renew a lease for long
 // enough (election.Bounds.Isolated). Until then the answer is 503, never an older one.
 //
-// This holds for all ways to tell it: told() is the only one. A job that is withdrawn
+// This holds for all ways to tell it: over() is the only one. A job that is withdrawn
 // because one that it needs is never had a task, so nobody renews anything for it.
 
-// heeded is the revision up to which a leader that held its key had taken in all
-// that happened to jobs. It stays true whoever leads, so nodes pass it on.
-type heeded struct{ upTo atomic.Uint64 }
+// acked is the revision up to which a leader that held its key had applied all changes
+// of jobs. It stays true whoever leads, so nodes pass it on.
+type acked struct{ upTo atomic.Uint64 }
 
-func (h *heeded) raise(to ids.Stamp) {
+func (a *acked) raise(to ids.Stamp) {
 	for {
-		was := h.upTo.Load()
-		if uint64(to) <= was || h.upTo.CompareAndSwap(was, uint64(to)) {
+		was := a.upTo.Load()
+		if uint64(to) <= was || a.upTo.CompareAndSwap(was, uint64(to)) {
 			return
 		}
 	}
 }
 
-func (h *heeded) covers(stamp ids.Stamp) bool { return uint64(stamp) <= h.upTo.Load() }
+func (a *acked) covers(stamp ids.Stamp) bool { return uint64(stamp) <= a.upTo.Load() }
 
-// heededUpTo is the latest that this node knows of it. Whether the key is held is
+// ackedRevision is the latest that this node knows of it. Whether the key is held is
 // asked after what the own term has taken in.
-func (n *Node) heededUpTo() ids.Stamp {
+func (n *Node) ackedRevision() ids.Stamp {
 	if t := n.term.Load(); t != nil {
 		if applied := ids.Stamp(t.applied.Load()); t.key.Holds() {
-			n.heeded.raise(applied)
+			n.acked.raise(applied)
 		}
 	}
-	return ids.Stamp(n.heeded.upTo.Load())
+	return ids.Stamp(n.acked.upTo.Load())
 }
 
-// heedTime is how long the leader may take to take a withdrawal in.
-const heedTime = 700 * time.Millisecond
+// ackTime is how long the leader may take to take a withdrawal in.
+const ackTime = 700 * time.Millisecond
 
 // mayTell tells whether a withdrawal may be told, and has the leader take it in if
 // that is not known. Without a leader that answers it may not, for now: the next
 // request asks again, and the pings bring what a leader has read by itself.
 func (n *Node) mayTell(ctx context.Context, id ids.JobID, rec *ledger.Job, stamp ids.Stamp) bool {
-	n.heededUpTo()
-	if n.heeded.covers(stamp) {
+	n.ackedRevision()
+	if n.acked.covers(stamp) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, heedTime)
+	ctx, cancel := context.WithTimeout(ctx, ackTime)
 	defer cancel()
 	l, ok := n.election.Leader()
 	if t := n.term.Load(); t != nil && l.Stamp == t.key.Stamp {
-		return t.heed(ctx, id, rec, stamp)
+		return t.acknowledge(ctx, id, rec, stamp)
 	}
 	p := n.peerNamed(l.Name)
 	if !ok || p == nil {
@@ -75,8 +75,8 @@
 	return held
 }
 
-// heed has the core take a job's record in, and tells whether the key was surely
+// acknowledge has the core take a job's record in, and tells whether the key was surely
 // held after that.
-func (t *term) heed(ctx context.Context, id ids.JobID, rec *ledger.Job, stamp ids.Stamp) bool {
+func (t *term) acknowledge(ctx context.Context, id ids.JobID, rec *ledger.Job, stamp ids.Stamp) bool {
 	return t.ask(ctx, func() { t.core.JobSeen(t.n.clock.Now(), id, rec, stamp) }) && t.key.Holds()
 }
--- a/node/withdrawals_test.go
+++ b/node/withdrawals_test.go
@@ -149,12 +149,12 @@
 	state.mu.Lock()
 	state.epoch = 40
 	state.mu.Unlock()
-	until(t, "all is heeded", func() bool { return n.ping().Heeded >= 40 })
+	until(t, "all is acknowledged", func() bool { return n.ping().Acked >= 40 })
 	refuse.Store(true)
 	until(t, "the key is not surely held", func() bool { return !tm.key.Holds() })
 	tm.applied.Store(50)
-	if got := n.ping().Heeded; got >= 50 {
-		t.Errorf("heeded up to %d without the key", got)
+	if got := n.ping().Acked; got >= 50 {
+		t.Errorf("acknowledged up to %d without the key", got)
 	}
 }
 
