--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -365,14 +365,13 @@
 		}
 		if j.keptSince != 0 && c.now > j.keptSince.Add(c.opt.KeepFor) {
 			j.waits, j.keptSince = c.now.Add(-c.opt.KeepAfter/2), 0
-			if c.starves(j) { // at once, elsewhere
-				j.waits = c.now.Add(-c.opt.KeepAfter)
-			}
 			continue
 		}
 		n := j.together()
-		if !c.fitsQuota(j, false, n) && !c.starves(j) {
-			continue // room is not what it waits for
+		if !c.fitsQuota(j, false, n) && !(j.prio == wire.BestEffort && c.starves(j)) {
+			// Room is not what it waits for. What is lent comes and goes, though, and
+			// idle-time work lives on it alone: it must find room when it comes.
+			continue
 		}
 		kept += c.keepFor(j, n, held[j], kept)
 	}
