--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -324,7 +324,7 @@
 // is sent once the record is committed.
 func (c *Core) place(j *job, i int, m *machine) *assignment {
 	j.tasks[i].attempt++
-	a := &assignment{job: j, index: i, attempt: j.tasks[i].attempt, m: m, since: c.now, sheltered: c.starves(j)}
+	a := &assignment{job: j, index: i, attempt: j.tasks[i].attempt, m: m, since: c.now, sheltered: j.prio == wire.BestEffort && c.starves(j)}
 	c.attach(a)
 	return a
 }
@@ -930,8 +930,9 @@
 	return m.victims
 }
 
-// shelter is how long the first tasks of a job that starved run undisturbed: stopped at
-// once, they would have begun for nothing.
+// shelter is how long the first tasks of idle-time work that starved run undisturbed: all
+// others stop it, and stopped at once it would have begun for nothing. Work of other
+// priorities is not sheltered: in its place tasks that have run for longer would be stopped.
 const shelter = 45 * time.Second
 
 func (c *Core) sheltered(a *assignment) bool {
