A leader known by its stamp alone ends earlier terms, and hides nobody's name

In reading: a ping from a node that had forgotten a leader whose key was gone would have made others forget its name too.

--- a/election/election.go
+++ b/election/election.go
@@ -176,14 +176,18 @@
 	return e.term
 }
 
-// Observe takes what a peer or the state service says about the leader.
+// Observe takes what a peer or the state service says about the leader. A peer that
+// knows a leader by its stamp alone, since that one's key is gone, tells of no leader to
+// follow, only that earlier terms are over.
 func (e *Election) Observe(l Leader) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l.Stamp <= e.leader.Stamp {
 		return
 	}
-	e.leader = l
+	if l.Name != "" {
+		e.leader = l
+	}
 	if e.term != nil && l.Stamp > e.term.Stamp {
 		e.term.End(ErrReplaced)
 	}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -391,11 +391,12 @@
 			t.Fatal("nobody leads")
 		}
 		m.c.refuse(true)
-		m.e.Observe(Leader{Holder{Name: "n1"}, term.Stamp + 5})
+		m.e.Observe(Leader{Stamp: term.Stamp + 5}) // its name is not known any more
 		time.Sleep(time.Second)
 		if m.e.Term() != nil {
 			t.Error("the term goes on")
 		}
+		m.e.Observe(Leader{Holder{Name: "n1"}, term.Stamp + 5})
 		if l, _ := m.e.Leader(); l.Name != "n1" {
 			t.Errorf("takes %q for the leader", l.Name)
 		}
--- a/node/withdrawals_test.go
+++ b/node/withdrawals_test.go
@@ -68,19 +68,23 @@
 	asked, other := state.started(t, seed), state.started(t, seed)
 	follow(asked, leader)
 	follow(other, leader)
-	ways := map[string]func(n *Node, id ids.JobID) server.Answer{
-		"withdraw": func(n *Node, id ids.JobID) server.Answer { return n.Withdraw(t.Context(), id) },
-		"poll":     func(n *Node, id ids.JobID) server.Answer { return n.Status(t.Context(), id) },
-		"submit":   func(n *Node, id ids.JobID) server.Answer { return n.Submit(t.Context(), id, waiting()) },
+	ways := []struct { // in this order: before the first, there is nothing to tell
+		name string
+		ask  func(n *Node, id ids.JobID) server.Answer
+	}{
+		{"withdraw", func(n *Node, id ids.JobID) server.Answer { return n.Withdraw(t.Context(), id) }},
+		{"poll", func(n *Node, id ids.JobID) server.Answer { return n.Status(t.Context(), id) }},
+		{"submit", func(n *Node, id ids.JobID) server.Answer { return n.Submit(t.Context(), id, waiting()) }},
+		{"withdraw again", func(n *Node, id ids.JobID) server.Answer { return n.Withdraw(t.Context(), id) }},
 	}
 	check := func(id ids.JobID, told bool, when string) {
 		t.Helper()
 		for _, n := range []*Node{asked, other} {
-			for way, ask := range ways {
-				a := ask(n, id)
+			for _, way := range ways {
+				a := way.ask(n, id)
 				s, _ := a.Body.(wire.JobStatus)
 				if told && (a.Code != 200 || s.Status != wire.StatusWithdrawn) || !told && (a.Code != 503 || a.Retry == 0) {
-					t.Errorf("%s, %s: %s: %+v", when, way, id, a)
+					t.Errorf("%s, %s: %s: %+v", when, way.name, id, a)
 				}
 			}
 		}
@@ -111,7 +115,7 @@
 	}
 	check("job-1", true, "the leader is refused alone")
 	// Nor while nobody leads, as far as this node knows.
-	asked.election.Observe(election.Leader{Stamp: term.key.Stamp + 1})
+	asked.election.Observe(election.Leader{Holder: election.Holder{Name: "n-9"}, Stamp: term.key.Stamp + 1})
 	if a := asked.Withdraw(t.Context(), "job-3"); a.Code != 503 {
 		t.Errorf("nobody leads: %+v", a)
 	}
