Read once more: one check for waiting to begin, one way to the leader, no copy of all machines

The machines were copied five times a second because one might be forgotten on the way: those are forgotten after the look. Decisions are meant to stay as they are; tests keep their assertions.

--- a/node/edge.go
+++ b/node/edge.go
@@ -108,15 +108,13 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
 	var answers []reportAnswer
-	if l, ok := e.n.election.Leader(); ok {
-		if p := e.n.peerNamed(l.Name); p != nil {
-			raws := make([][]byte, len(batch))
-			for i := range batch {
-				raws[i] = batch[i].raw
-			}
-			if err := p.Call(ctx, "reports", raws, &answers); err != nil {
-				e.n.log.Debug("reports not passed on", "count", len(batch), "err", err)
-			}
+	if p := e.n.leaderPeer(); p != nil {
+		raws := make([][]byte, len(batch))
+		for i := range batch {
+			raws[i] = batch[i].raw
+		}
+		if err := p.Call(ctx, "reports", raws, &answers); err != nil {
+			e.n.log.Debug("reports not passed on", "count", len(batch), "err", err)
 		}
 	}
 	for i, b := range batch {
--- a/node/edge_test.go
+++ b/node/edge_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,7 +13,6 @@
 	"ospreystile.example/ospreystile/config"
 	"ospreystile.example/ospreystile/election"
 	"ospreystile.example/ospreystile/ids"
-	"ospreystile.example/ospreystile/mesh"
 	"ospreystile.example/ospreystile/server"
 	"ospreystile.example/ospreystile/wire"
 )
@@ -24,18 +22,13 @@
 // is told at once to go elsewhere.
 func TestFollowerPassesReportsOn(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	leader := testNode(t, testConfig(freshState(t)))
 	leader.catalog.Store(&[]wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}})
 	var g errgroup.Group
-	g.Go(func() error { _ = mesh.Serve(ctx, ln, leader.handle, leader.log); return nil })
 
 	cfg := testConfig("127.0.0.1:4")
 	cfg.HostName = "n-1"
-	cfg.Seeds = []config.Peer{{Name: "n-0", Address: ln.Addr().String()}}
+	cfg.Seeds = []config.Peer{{Name: "n-0", Address: meshOf(t, leader)}}
 	follower := testNode(t, cfg)
 	g.Go(func() error { _ = follower.edge.run(ctx); return nil })
 	defer func() { cancel(); _ = g.Wait() }()
@@ -50,11 +43,7 @@
 		t.Fatalf("before the leader leads: %+v", a)
 	}
 	g.Go(func() error { _ = leader.election.Run(ctx); return nil })
-	for leader.term.Load() == nil {
-		if !ids.Pause(ctx, 5*time.Millisecond) {
-			t.Fatal("nobody leads")
-		}
-	}
+	until(t, "somebody leads", func() bool { return leader.term.Load() != nil })
 	a := hello()
 	if o, ok := a.Body.(wire.Orders); a.Code != 200 || !ok || o.Token.Stamp() != 7 {
 		t.Fatalf("through the follower: %+v", a)
@@ -64,11 +53,7 @@
 	}
 	// A later leader is known: this one has nothing to say any more.
 	leader.election.Observe(election.Leader{Holder: election.Holder{Name: "n-2"}, Stamp: 9})
-	for leader.term.Load() != nil {
-		if !ids.Pause(ctx, 5*time.Millisecond) {
-			t.Fatal("the term goes on")
-		}
-	}
+	until(t, "the term is over", func() bool { return leader.term.Load() == nil })
 	if a := hello(); a.Code != 503 {
 		t.Errorf("from a leader that was replaced: %+v", a)
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -20,7 +20,6 @@
 	"ospreystile.example/ospreystile/httpc"
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/ledger"
-	"ospreystile.example/ospreystile/mesh"
 	"ospreystile.example/ospreystile/wire"
 )
 
@@ -161,17 +160,10 @@
 	badAddr, refuse := store(t)
 	refuse.Store(true)
 	ctx, cancel := context.WithCancel(t.Context())
-	served := make(chan error, 1)
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	other := testNode(t, testConfig(goodAddr))
-	go func() { served <- mesh.Serve(ctx, ln, other.handle, other.log) }()
-	defer func() { cancel(); <-served }()
 
 	cfg := testConfig(badAddr)
-	cfg.Seeds = []config.Peer{{Name: "n-1", Address: ln.Addr().String()}}
+	cfg.Seeds = []config.Peer{{Name: "n-1", Address: meshOf(t, other)}}
 	n := testNode(t, cfg)
 	answering := make(chan error, 1)
 	go func() { answering <- n.polls.run(ctx) }()
--- a/node/routes.go
+++ b/node/routes.go
@@ -173,6 +173,12 @@
 	}
 }
 
+// leaderPeer is the way to the leader; nil if none is known, or this node leads.
+func (n *Node) leaderPeer() *peer {
+	l, _ := n.election.Leader()
+	return n.peerNamed(l.Name)
+}
+
 // peerNamed finds a peer.
 func (n *Node) peerNamed(name ids.NodeName) *peer {
 	for _, p := range n.peers {
--- a/node/service.go
+++ b/node/service.go
@@ -236,10 +236,8 @@
 		return t.progress(ctx, list)
 	}
 	var ans []progress
-	if l, ok := n.election.Leader(); ok {
-		if p := n.peerNamed(l.Name); p != nil && p.Call(ctx, "progress", list, &ans) == nil {
-			return ans
-		}
+	if p := n.leaderPeer(); p != nil && p.Call(ctx, "progress", list, &ans) == nil {
+		return ans
 	}
 	return nil
 }
@@ -313,11 +311,7 @@
 		go t.post(t.ctx, func() { t.core.JobSeen(n.clock.Now(), id, rec, stamp) })
 		return
 	}
-	l, ok := n.election.Leader()
-	if !ok {
-		return
-	}
-	if p := n.peerNamed(l.Name); p != nil {
+	if p := n.leaderPeer(); p != nil {
 		a := newAnnouncement(id, rec, stamp)
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/node/upgrade_test.go
+++ b/node/upgrade_test.go
@@ -155,11 +155,7 @@
 	wg.Go(func() { _ = n.election.Run(ctx) })
 	mesh = meshOf(t, n)
 	t.Cleanup(func() { cancel(); wg.Wait() })
-	for n.term.Load() == nil {
-		if !ids.Pause(ctx, 5*time.Millisecond) {
-			t.Fatal("nobody leads")
-		}
-	}
+	until(t, "somebody leads", func() bool { return n.term.Load() != nil })
 	return mesh
 }
 
--- a/node/withdrawals.go
+++ b/node/withdrawals.go
@@ -33,8 +33,6 @@
 	}
 }
 
-func (a *acked) covers(stamp ids.Stamp) bool { return uint64(stamp) <= a.upTo.Load() }
-
 // ackedRevision is the latest that this node knows of it. Whether the key is held is
 // asked after what the own term has taken in.
 func (n *Node) ackedRevision() ids.Stamp {
@@ -53,18 +51,17 @@
 // that is not known. Without a leader that answers it may not, for now: the next
 // request asks again, and the pings bring what a leader has read by itself.
 func (n *Node) mayTell(ctx context.Context, id ids.JobID, rec *ledger.Job, stamp ids.Stamp) bool {
-	n.ackedRevision()
-	if n.acked.covers(stamp) {
+	if stamp <= n.ackedRevision() {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackTime)
 	defer cancel()
-	l, ok := n.election.Leader()
+	l, _ := n.election.Leader()
 	if t := n.term.Load(); t != nil && l.Stamp == t.key.Stamp {
 		return t.acknowledge(ctx, id, rec, stamp)
 	}
 	p := n.peerNamed(l.Name)
-	if !ok || p == nil {
+	if p == nil {
 		return false
 	}
 	var held bool
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -17,8 +17,11 @@
 // mustBegin tells whether a job has waited to begin for so long that it goes
 // before the rest of those that have. A team's quota may all go to its older
 // jobs, task by task: room kept for a later one is of no use to it then.
-func (c *Core) mustBegin(j *job) bool {
-	return !j.begun && c.opt.KeepAfter > 0 && c.now > j.came.Add(2*c.opt.KeepAfter)
+func (c *Core) mustBegin(j *job) bool { return c.waited(j, 2) }
+
+// waited tells whether a job could not begin for so many times KeepAfter.
+func (c *Core) waited(j *job, times float64) bool {
+	return !j.begun && c.opt.KeepAfter > 0 && c.now > j.came.Add(time.Duration(times*float64(c.opt.KeepAfter)))
 }
 
 // starvesAfter is after how many times KeepAfter a job that could not begin has room
@@ -28,9 +31,7 @@
 // starves tells whether a job of whatever priority has waited to begin for so long that
 // it must, as every job does within four minutes where limits allow. Idle-time work
 // would never see room where more urgent work takes each gap. One task is little.
-func (c *Core) starves(j *job) bool {
-	return !j.begun && c.opt.KeepAfter > 0 && c.now > j.came.Add(time.Duration(starvesAfter*float64(c.opt.KeepAfter)))
-}
+func (c *Core) starves(j *job) bool { return c.waited(j, starvesAfter) }
 
 // starvingFirst lists waiting jobs with those that starve before all others.
 func (c *Core) starvingFirst(waiting []*job) []*job {
@@ -282,7 +283,7 @@
 func (c *Core) admitIn(j *job, nominal, whole bool) (noRoom bool) {
 	var placed []*assignment
 	var s *search
-	begins, starves := c.mustBegin(j), c.starves(j)
+	begins := c.mustBegin(j)
 	for k := len(j.pending) - 1; k >= 0; k-- {
 		if !c.fitsQuota(j, nominal, 1) {
 			break
@@ -301,7 +302,7 @@
 		if j.probes() {
 			break
 		}
-		if (begins || starves) && !whole {
+		if begins && !whole {
 			c.changed = true
 			break // the rest has no more right than others
 		}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -516,11 +516,9 @@
 		if len(m.errors) >= 2 || total >= 2 && len(j.failedOn) == 1 {
 			m.quarantine, m.condemned = c.now.Add(quarantineFor), true
 		}
-	}
-	if j.succeeded > 0 || len(j.failedOn) < failedPlaces && j.rounds == 0 {
-		return
-	}
-	if j.rounds == 0 {
+		if j.succeeded > 0 || len(j.failedOn) < failedPlaces {
+			return
+		}
 		c.acquit(j)
 	}
 	clear(j.failedOn)
@@ -943,7 +941,8 @@
 	if c.opt.Predecessor {
 		heardBy = c.started.Add(c.opt.Lease)
 	}
-	for _, m := range slices.Clone(c.order) {
+	var gone []*machine // forgetting one takes it out of the order
+	for _, m := range c.order {
 		if m.quarantine != 0 && c.now >= m.quarantine {
 			m.quarantine, c.changed = 0, true
 		}
@@ -956,7 +955,7 @@
 		keep := mass || c.cutOff(m.Zone)
 		if m.returning {
 			if m.returned {
-				c.forget(m)
+				gone = append(gone, m)
 			} else {
 				c.giveBack(m, "")
 			}
@@ -991,6 +990,9 @@
 			c.giveBack(m, "deaf")
 		}
 	}
+	for _, m := range gone {
+		c.forget(m)
+	}
 }
 
 // drainNoticed stops what will not complete before a machine is taken.
