Room for 4,000 machines: planner skips full machines, relay's queue grows with sockets

Need: the service is run at about 4,000 machines, and no fixed limit may stand below that. Cause: read through limits and per-machine costs. Two stood below it or grew faster than the fleet: the planner looked at every starting machine for every waiting job (jobs times machines), and a follower held at most 1,000 reports however many sockets it has, so a zone that comes back at once could be refused. Ruled out as limits: calls under way (64, in turns), commands per answer (per machine), the mesh's frames (48 reports a batch), returns (250 machines a second), rentals (150 a site in flight, repeated), the 64 zones that alike requests are told apart by (more are searched one by one). Now: alike requests skip the machines that are known to be full; the queue holds a report for each socket.

--- a/node/overload_test.go
+++ b/node/overload_test.go
@@ -38,7 +38,7 @@
 		if waited := time.Since(began); waited > 0 {
 			t.Errorf("refused after %v", waited)
 		}
-		for range maxWaitingReports {
+		for range maxWaitingReports(n.cfg.Settings.Resources.Sockets) {
 			go n.relay.relay(waiting, nil)
 		}
 		synctest.Wait()
--- a/node/report_relay.go
+++ b/node/report_relay.go
@@ -35,10 +35,15 @@
 	// relayTimeout is how long a report may take here, of the 4 s that workers
 	// wait.
 	relayTimeout = 2500 * time.Millisecond
-	// maxWaitingReports bounds the reports that wait.
-	maxWaitingReports = 1000
+	// minWaitingReports is how many reports may wait on the smallest node. A larger one
+	// lets one wait for each socket: each holds one, so a fleet that comes back all at once
+	// is not refused for a limit below its connections.
+	minWaitingReports = 1000
 )
 
+// maxWaitingReports bounds the reports that wait on a node with so many sockets.
+func maxWaitingReports(sockets int) int { return max(minWaitingReports, sockets) }
+
 // relayedAnswer is the leader's answer to one report of a batch.
 type relayedAnswer struct {
 	OK     bool              `cbor:"1,keyasint"`
@@ -51,7 +56,7 @@
 	defer cancel()
 	done := make(chan server.Answer, 1)
 	e.mu.Lock()
-	if len(e.waiting) >= maxWaitingReports {
+	if len(e.waiting) >= maxWaitingReports(e.n.cfg.Settings.Resources.Sockets) {
 		e.mu.Unlock()
 		return server.Answer{Code: 503}
 	}
--- a/scheduler/fleet/fleet.go
+++ b/scheduler/fleet/fleet.go
@@ -3,6 +3,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"ospreystile.example/ospreystile/ids"
@@ -75,8 +76,34 @@
 	// Budget is the most machines to buy.
 	Budget int
 
+	// BinsExamined counts the machines that were looked at, a measure of the work.
+	BinsExamined int
+
 	bins      []*bin
 	purchases map[placement.Site]int
+	// firstBin is, by request, the first machine that may still have room for it. Room
+	// only shrinks, so those before it need not be looked at again: with thousands of
+	// waiting jobs and starting machines that would be millions of comparisons.
+	firstBin map[request]int
+}
+
+// request is all that decides whether a machine with enough room may take a task, but for
+// where the job's other tasks are.
+type request struct {
+	need  placement.Resources
+	spot  bool
+	zone  ids.Zone
+	types string
+}
+
+// requestOf is the request of a job's tasks.
+func requestOf(s *wire.Spec) request {
+	var types strings.Builder
+	for _, name := range s.Types {
+		types.WriteString(string(name))
+		types.WriteByte(0)
+	}
+	return request{placement.Of(s), s.Spot, s.Zone, types.String()}
 }
 
 // AddCapacity adds a machine that is starting, with the room that is left on it.
@@ -89,7 +116,7 @@
 // spread over zones by taking the zone with the fewest machines.
 func (p *Planner) Add(d Demand) {
 	if p.purchases == nil {
-		p.purchases = map[placement.Site]int{}
+		p.purchases, p.firstBin = map[placement.Site]int{}, map[request]int{}
 	}
 	zones := placement.Zones{}
 	for z, n := range d.Zones {
@@ -97,10 +124,11 @@
 	}
 	need := placement.Of(d.Spec)
 	left := d.Count
-	for _, b := range p.bins {
+	for _, b := range p.bins[p.skipFull(d.Spec, need):] {
 		if left == 0 {
 			return
 		}
+		p.BinsExamined++
 		left -= b.fill(d.Spec, need, zones, left)
 	}
 	for left > 0 {
@@ -116,9 +144,26 @@
 	}
 }
 
+// skipFull finds the first machine that may have room for a task.
+func (p *Planner) skipFull(s *wire.Spec, need placement.Resources) int {
+	key := requestOf(s)
+	first := p.firstBin[key]
+	for first < len(p.bins) && !p.bins[first].mayHold(s, need) {
+		p.BinsExamined++
+		first++
+	}
+	p.firstBin[key] = first
+	return first
+}
+
+// mayHold tells whether a task fits and its job allows the site.
+func (b *bin) mayHold(s *wire.Spec, need placement.Resources) bool {
+	return need.Within(b.free) && placement.Allowed(s, b.Site)
+}
+
 // fill puts as many tasks as fit into a machine, and tells how many.
 func (b *bin) fill(s *wire.Spec, need placement.Resources, zones placement.Zones, most int) int {
-	if !need.Within(b.free) || !placement.Allowed(s, b.Site) {
+	if !b.mayHold(s, need) {
 		return 0
 	}
 	n := 0
--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -75,3 +75,23 @@
 		t.Error("blocked after it was granted")
 	}
 }
+
+// Thousands of alike jobs that find nothing must not each look at all machines that are
+// coming.
+func TestFullMachinesAreSkipped(t *testing.T) {
+	const machines, jobs = 4000, 2000
+	p := &Planner{Types: types, Blocked: func(placement.Site) bool { return true }, Held: map[placement.Site]int{}, Budget: machines}
+	for range machines {
+		p.AddCapacity(placement.Site{Type: "small", Zone: "a"}, placement.Resources{CPUs: 4, MemoryGB: 16})
+	}
+	spec := &wire.Spec{CPUs: 2, MemoryGB: 1}
+	for range jobs {
+		p.Add(Demand{Spec: spec, Count: 10})
+	}
+	if most := 3 * (machines + jobs); p.BinsExamined > most {
+		t.Errorf("looked at machines %d times, at most %d expected", p.BinsExamined, most)
+	}
+	if p.firstBin[requestOf(spec)] != machines {
+		t.Errorf("%d machines are full, all %d should be", p.firstBin[requestOf(spec)], machines)
+	}
+}
--- /dev/null
+++ b/scheduler/large_fleet_test.go
@@ -0,0 +1,178 @@
+package scheduler
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/scheduler/quota"
+	"ospreystile.example/ospreystile/wire"
+)
+
+const (
+	// largeFleet is about the number of machines that the service is run with, and
+	// largeFleetTasks how many tasks are placed on them.
+	largeFleet      = 4000
+	largeFleetTasks = 16000
+	largeFleetZones = 4
+	largeFleetJobs  = 250
+)
+
+// largeFleetHarness is a core with 4,000 machines in four zones and 250 jobs of 64 tasks.
+func largeFleetHarness(t *testing.T) *harness {
+	zones := []ids.Zone{"a", "b", "c", "d"}
+	enough := quota.Amount{CPUs: 4 * largeFleetTasks}
+	b := newHarness(t, Options{Teams: []quota.Team{{Name: "red", Nominal: enough, Limit: enough, Lend: enough}}},
+		wire.MachineType{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 50, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: zones})
+	b.c.opt.MaxMachines, b.c.opt.SliceTasks, b.c.opt.TxnOps = 0, 64, 24
+	b.c.opt.MaxSkippedJobs, b.c.opt.MaxDirectCalls = 2000, 64
+	return b
+}
+
+func largeFleetHost(n int) ids.Host { return ids.Host(fmt.Sprintf("n-%06d", n)) }
+
+func largeFleetZone(n int) ids.Zone { return ids.Zone(rune('a' + n%largeFleetZones)) }
+
+// reportAll has each machine report what runs on it, but for those in a zone that is cut.
+func (b *harness) reportAll(cut ids.Zone) {
+	for n := range largeFleet {
+		if largeFleetZone(n) == cut {
+			continue
+		}
+		var tasks []wire.Task
+		if m := b.c.registry.machines[largeFleetHost(n)]; m != nil {
+			for _, a := range m.taskList {
+				if a.sent || a.inherited {
+					tasks = append(tasks, wire.Task{Name: a.ref().String(), Attempt: a.attempt, State: wire.TaskRunning})
+				}
+			}
+		}
+		b.report(largeFleetHost(n), largeFleetZone(n), b.c.commands.tokenOf(b.c.registry.ensureMachine(largeFleetHost(n))), tasks...)
+	}
+}
+
+// liveHeap is how much memory is in use once garbage is collected.
+func liveHeap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// The core holds 4,000 machines through full reports, a takeover and a cut zone. Its work
+// is asserted by what it looked at, read and wrote, not by time.
+func TestFourThousandMachines(t *testing.T) {
+	before := liveHeap()
+	b := largeFleetHarness(t)
+	b.c.Begin(b.now)
+	b.reportAll("")
+	for n := range largeFleetJobs {
+		b.job(ids.JobID(fmt.Sprintf("job-%06d", n)), wire.Spec{Tasks: largeFleetTasks / largeFleetJobs, CPUs: 2})
+	}
+	records := map[string]ledger.Slice{}
+	b.placeAll(records)
+	placed := uint64(largeFleetTasks)
+	// The first search of a job looks at all machines, each task at one a zone.
+	if most := uint64(largeFleetJobs+16)*largeFleet*2 + placed*largeFleetZones; b.c.admission.MachinesExamined > most {
+		t.Errorf("looked at machines %d times to place %d tasks, at most %d expected", b.c.admission.MachinesExamined, placed, most)
+	}
+	if len(records) != largeFleetJobs {
+		t.Errorf("%d records written, want one for each of %d jobs", len(records), largeFleetJobs)
+	}
+	b.now = b.now.Add(time.Second)
+	b.reportAll("")
+	perMachine := (liveHeap() - before) / largeFleet
+	t.Logf("live heap: %d KB, %d bytes a machine with four tasks", perMachine*largeFleet/1024, perMachine)
+	if perMachine > 12<<10 {
+		t.Errorf("a machine takes %d bytes: too much for a node of 100 MB", perMachine)
+	}
+	b.takeOverLargeFleet(records)
+	b.cutZoneOfLargeFleet()
+}
+
+// placeAll steps until all tasks are placed, and keeps the newest record of each slice.
+func (b *harness) placeAll(records map[string]ledger.Slice) {
+	b.t.Helper()
+	for range 10 {
+		b.now = b.now.Add(time.Second)
+		for _, change := range b.step().Changes {
+			for _, op := range change.Apply {
+				if record, ok := op.Value.(ledger.Slice); ok {
+					records[op.Write] = record
+				}
+			}
+		}
+	}
+	for id, j := range b.c.jobs {
+		if len(j.pending) > 0 {
+			b.t.Fatalf("%s has %d tasks to place", id, len(j.pending))
+		}
+	}
+}
+
+// takeOverLargeFleet has a successor read the records and meet all machines.
+func (b *harness) takeOverLargeFleet(records map[string]ledger.Slice) {
+	b.t.Helper()
+	predecessor := b.c
+	opt := predecessor.opt
+	opt.Revision, opt.Predecessor = opt.Revision+1, true
+	b.c = New(opt, predecessor.typeList)
+	for id, j := range predecessor.jobs {
+		b.c.LoadJob(id, &ledger.Job{Status: wire.StatusQueued, Tasks: len(j.tasks), Spec: j.spec}, j.revision)
+	}
+	for key, record := range records {
+		id, number, _ := ledger.ParseAdmissionKey(key)
+		if err := b.c.LoadSlice(id, number, &record, 2000); err != nil {
+			b.t.Fatal(err)
+		}
+	}
+	b.c.Begin(b.now)
+	b.reportAll("")
+	e := b.step()
+	if len(e.Changes) > 0 || len(e.Return) > 0 || len(e.Rent) > 0 {
+		b.t.Errorf("a takeover without news wrote %d changes, returned %d and rented %d", len(e.Changes), len(e.Return), len(e.Rent))
+	}
+	for _, m := range b.c.registry.machineList {
+		if !b.c.health.usable(m) {
+			b.t.Fatalf("%s is not usable after its report", m.host)
+		}
+	}
+}
+
+// cutZoneOfLargeFleet cuts a quarter of the machines off until their leases are over, and
+// sees that work and returns stay in proportion.
+func (b *harness) cutZoneOfLargeFleet() {
+	b.t.Helper()
+	examined, calls := b.c.admission.MachinesExamined, 0
+	const step, steps = time.Second, 36
+	for range steps {
+		b.now = b.now.Add(step)
+		b.reportAll("d")
+		e := b.step()
+		calls = max(calls, len(e.Direct)+len(e.Show))
+		if len(e.Return) > 0 {
+			b.t.Fatalf("returned %d machines of a zone that is cut off", len(e.Return))
+		}
+	}
+	if !b.c.health.zonePartitioned("d") {
+		b.t.Error("the zone is not known to be cut off")
+	}
+	if calls > b.c.opt.MaxDirectCalls {
+		b.t.Errorf("%d calls in a step", calls)
+	}
+	waiting := 0
+	for _, j := range b.c.jobs {
+		waiting += len(j.pending)
+	}
+	if want := largeFleetTasks / largeFleetZones; waiting != want {
+		b.t.Errorf("%d tasks wait after a quarter of the machines lost their leases, want %d", waiting, want)
+	}
+	// All other machines are full. Alike jobs that found no room are not tried again in a
+	// round, by admission or by preemption.
+	if looked, most := b.c.admission.MachinesExamined-examined, uint64(steps*8*largeFleet); looked > most {
+		b.t.Errorf("looked at machines %d times, at most %d expected", looked, most)
+	}
+}
