--- a/cmd/ospreystile/main.go
+++ b/cmd/ospreystile/main.go
@@ -41,7 +41,13 @@
 		return nil, nil, err
 	}
 	operator, err := config.LoadOperator(f.operator)
-	return platform, operator, err
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := operator.CheckAgainst(platform); err != nil {
+		return nil, nil, fmt.Errorf("operator settings %s: %w", f.operator, err)
+	}
+	return platform, operator, nil
 }
 
 func command() *cobra.Command {
@@ -56,7 +62,7 @@
 	}
 	root.PersistentFlags().StringVar(&files.platform, "config", "", "the platform's settings file (TOML)")
 	root.PersistentFlags().StringVar(&files.operator, "operator", "", "the operators' settings file (JSON)")
-	root.AddCommand(checkCommand(&files), versionCommand())
+	root.AddCommand(checkCommand(&files), versionCommand(), zonesCommand(&files), zoneCommand(&files))
 	root.SetContext(context.Background())
 	return root
 }
--- a/config/operator.go
+++ b/config/operator.go
@@ -12,6 +12,7 @@
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
 	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/zonereturn"
 )
 
 // Operator is the operators' own settings.
@@ -44,6 +45,11 @@
 		MaxMachines  int     `json:"max_machines"`
 	} `json:"fleet"`
 
+	// ZoneReturn is how zones that fall silent are watched and return, ZonePolicy what it
+	// comes to; nil: they are not watched.
+	ZoneReturn zonereturn.Settings `json:"zone_return"`
+	ZonePolicy *zonereturn.Policy  `json:"-"`
+
 	// Warnings tell of settings with names that are out of date.
 	Warnings []string `json:"-"`
 }
@@ -138,9 +144,25 @@
 	if err := json.Unmarshal(renamed, &op); err != nil {
 		return nil, err
 	}
-	return &op, nil
+	return &op, op.setZonePolicy()
+}
+
+// setZonePolicy checks what the settings of zones say together, whether or not they are
+// turned on.
+func (o *Operator) setZonePolicy() error {
+	policy, err := o.ZoneReturn.Policy()
+	if err != nil {
+		return err
+	}
+	if o.ZoneReturn.Enabled {
+		o.ZonePolicy = policy
+	}
+	return nil
 }
 
+// CheckAgainst finds operators' settings that do not go with the platform's.
+func (o *Operator) CheckAgainst(p *Platform) error { return o.ZoneReturn.CheckZones(p.Settings.Zones) }
+
 // oneLine names the first field that a schema check found wrong.
 func oneLine(err error) error {
 	var ve *jsonschema.ValidationError
--- a/ledger/changes.go
+++ b/ledger/changes.go
@@ -4,6 +4,7 @@
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/statestore"
 	"ospreystile.example/ospreystile/wire"
+	"ospreystile.example/ospreystile/zonereturn"
 )
 
 // SliceVersion names a slice and the version that it should have.
@@ -70,3 +71,21 @@
 		Apply:  []statestore.Op{{Write: key, Value: rec}},
 	}
 }
+
+// ZoneChange writes the record of a zone's condition.
+func ZoneChange(zone ids.Zone, revision ids.Revision, record *zonereturn.Record) Change {
+	key := ZoneKey(zone)
+	return Change{
+		Guards: []statestore.Guard{{Key: key, Revision: revision}},
+		Apply:  []statestore.Op{{Write: key, Value: record}},
+	}
+}
+
+// ZoneDropChange drops the record of a zone about which there is nothing to know.
+func ZoneDropChange(zone ids.Zone, revision ids.Revision) Change {
+	key := ZoneKey(zone)
+	return Change{
+		Guards: []statestore.Guard{{Key: key, Revision: revision}},
+		Apply:  []statestore.Op{{Drop: key}},
+	}
+}
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -21,8 +21,14 @@
 	// FormatKey tells that every controller is known to wait for what jobs name,
 	// and to read slices that were split.
 	FormatKey = "format"
+	// ZonePrefix is for the conditions of zones. Such records come only where operators
+	// have zones watched; versions that do not know them read none.
+	ZonePrefix = "zones/"
 )
 
+// ZoneKey is the key of a zone's condition.
+func ZoneKey(zone ids.Zone) string { return ZonePrefix + string(zone) }
+
 // JobKey is the key of a job's record.
 func JobKey(id ids.JobID) string { return JobPrefix + string(id) }
 
--- a/node/mesh_handler.go
+++ b/node/mesh_handler.go
@@ -49,6 +49,10 @@
 		return handleBody(body, func(jobs []ids.JobID) (any, error) { return t.handleProgress(ctx, jobs) })
 	case opJob:
 		return handleBody(body, func(notice jobNotice) (any, error) { return t.handleJobNotice(ctx, notice) })
+	case opZones:
+		return t.handleZones(ctx)
+	case opZoneOverride:
+		return handleBody(body, func(o ZoneOverride) (any, error) { return t.handleZoneOverride(ctx, o) })
 	case opReports:
 		return handleBody(body, func(reports [][]byte) (any, error) { return n.relayedReports(ctx, t, reports) })
 	}
--- a/node/term.go
+++ b/node/term.go
@@ -137,6 +137,7 @@
 		if !t.key.MayAnswer() {
 			continue
 		}
+		t.core.ObserveView(t.view())
 		t.dispatch(t.core.Step(t.n.clock.Now()))
 		t.publishApplied()
 		if now := t.n.clock.Now(); now > lastLog.Add(5*time.Second) {
@@ -178,6 +179,7 @@
 	if len(e.Return) > 0 {
 		t.returns.add(e.Return)
 	}
+	t.logZoneEvents(e.ZoneEvents)
 	for _, address := range e.Forget {
 		t.n.workers.Forget(address)
 	}
--- a/node/term_load.go
+++ b/node/term_load.go
@@ -37,6 +37,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := t.loadZones(); err != nil {
+		return 0, err
+	}
 	if _, err := n.leaderState.List(t.ctx, ledger.AdmissionPrefix, t.loadAdmission); err != nil {
 		return 0, err
 	}
--- a/node/term_options.go
+++ b/node/term_options.go
@@ -64,6 +64,7 @@
 		RoundCostPerMachine:  time.Duration(float64(roundCostPerMachine) / s.Resources.CPUShare),
 		LazyWriteDelay:       lazyWriteDelay,
 		WriteRate:            recordWriteShare * s.State.Planned().WriteRPS,
+		ZoneReturn:           op.ZonePolicy,
 		MaxDirectCalls:       min(maxDirectCalls, max(minDirectCalls, s.Resources.Sockets/socketsPerDirectCall)),
 	}
 	for _, team := range s.Teams {
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -208,5 +208,6 @@
 	j.tasks[i].attempt++
 	a := &assignment{job: j, index: i, attempt: j.tasks[i].attempt, machine: m, phaseSince: adm.core.now, protected: j.priority == wire.BestEffort && adm.core.starving(j)}
 	adm.core.attach(a)
+	adm.core.zones.started(a)
 	return a
 }
--- a/scheduler/assignment.go
+++ b/scheduler/assignment.go
@@ -75,6 +75,7 @@
 	t := &a.job.tasks[a.index]
 	t.state, t.assignment = taskPending, nil
 	delete(a.job.active, a.index)
+	c.zones.detached(a)
 	if a.job.zones[a.machine.Zone]--; a.job.zones[a.machine.Zone] <= 0 {
 		delete(a.job.zones, a.machine.Zone)
 	}
--- a/scheduler/autoscaler.go
+++ b/scheduler/autoscaler.go
@@ -88,6 +88,7 @@
 			p.AddCapacity(m.Site, m.free())
 		}
 	}
+	as.core.zones.addReturning(p.AddCapacity)
 	for _, s := range slices.SortedFunc(maps.Keys(as.machinesRequested), placement.Site.Compare) {
 		p.Held[s] += as.machinesRequested[s]
 		if t := as.core.types[s.Type]; t != nil {
@@ -101,12 +102,44 @@
 
 // blocked tells whether nothing should be rented at a site now.
 func (as *autoscaler) blocked(s placement.Site) bool {
-	return as.core.health.zonePartitioned(s.Zone) || as.backoff.Blocked(s, as.core.now)
+	return as.core.health.zonePartitioned(s.Zone) || as.core.zones.blocksRental(s.Zone) || as.backoff.Blocked(s, as.core.now)
+}
+
+// comingByZone counts the machines that were asked for or have yet to report.
+func (as *autoscaler) comingByZone() map[ids.Zone]int {
+	coming := map[ids.Zone]int{}
+	for site, n := range as.machinesRequested {
+		coming[site.Zone] += n
+	}
+	for _, m := range as.core.registry.machineList {
+		if !m.reported && !m.returning {
+			coming[m.Zone]++
+		}
+	}
+	return coming
+}
+
+// zoneRefused tells whether the cloud lately lacked every kind of machine in a zone.
+func (as *autoscaler) zoneRefused(zone ids.Zone) bool {
+	offered := false
+	for i := range as.core.typeList {
+		t := &as.core.typeList[i]
+		if !slices.Contains(t.Zones, zone) {
+			continue
+		}
+		offered = true
+		for _, spot := range []bool{false, true} {
+			if !as.backoff.Blocked(placement.Site{Type: t.Name, Zone: zone, Spot: spot}, as.core.now) {
+				return false
+			}
+		}
+	}
+	return offered
 }
 
 // rent books the machines of a purchase, as many rentals as are allowed.
 func (as *autoscaler) rent(purchase fleet.Purchase) {
-	for left := purchase.Count; left > 0 && as.canRent(purchase.Site); left -= maxRentalSize {
+	for left := as.core.zones.limitRental(purchase.Zone, purchase.Count); left > 0 && as.canRent(purchase.Site); left -= maxRentalSize {
 		n := min(left, maxRentalSize)
 		as.nextBooking++
 		as.machinesRequested[purchase.Site] += n
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -15,6 +15,7 @@
 	"ospreystile.example/ospreystile/pipeline"
 	"ospreystile.example/ospreystile/scheduler/quota"
 	"ospreystile.example/ospreystile/wire"
+	"ospreystile.example/ospreystile/zonereturn"
 )
 
 // Core is the scheduler of one term. It holds the clock, the jobs and the quotas, and
@@ -62,6 +63,8 @@
 	preemption *evictor
 	autoscaler *autoscaler
 	estimates  *runEstimates
+	// zones watches zones that fall silent and return; nil: it is turned off.
+	zones *zoneGate
 
 	effects Effects
 	// deposed is set when a worker shows a later leader's token.
@@ -88,6 +91,7 @@
 	c.admission = &admitter{core: c}
 	c.preemption = &evictor{core: c, workloads: map[workload]workloadCount{}}
 	c.autoscaler = newAutoscaler(c)
+	c.zones = newZoneGate(c, opt.ZoneReturn)
 	c.SetCatalog(types)
 	return c
 }
@@ -146,6 +150,7 @@
 		m.knownSince = now
 		c.commands.queueCommands(m)
 	}
+	c.zones.begin()
 	c.schedulingDue = true
 }
 
@@ -165,6 +170,7 @@
 	if c.health.healthCheckDue || now >= c.health.healthCheckedAt.Add(healthCheckInterval) {
 		c.health.healthCheckDue, c.health.healthCheckedAt = false, now
 		c.health.checkMachines()
+		c.zones.observe()
 	}
 	if (c.schedulingDue || c.recheckAt != 0 && now >= c.recheckAt) && now >= c.nextRoundAt {
 		c.schedulingDue, c.recheckAt = false, 0
@@ -173,6 +179,7 @@
 		c.nextRoundAt = now.Add(max(c.opt.RoundInterval, time.Duration(c.admission.MachinesExamined-before)*c.opt.RoundCostPerMachine))
 	}
 	c.autoscaler.planFleet()
+	c.zones.writeRecords()
 	c.records.writeRecords()
 	c.commands.dispatchCommands()
 	out := c.effects
@@ -225,6 +232,8 @@
 	Refresh []ids.JobID
 	// Forget lists addresses of machines that are gone.
 	Forget []string
+	// ZoneEvents are changes of zones' conditions, for the log.
+	ZoneEvents []zonereturn.Event
 }
 
 // Status tells a job's progress for display.
--- a/scheduler/failures.go
+++ b/scheduler/failures.go
@@ -23,6 +23,7 @@
 // several machines make the job wait, but never give it up.
 func (c *Core) recordFailure(a *assignment) {
 	m, j := a.machine, a.job
+	c.zones.failed(a)
 	c.addAntiAffinity(j, m)
 	if j.failureRounds == 0 {
 		m.failuresByJob[j.id]++
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -94,6 +94,7 @@
 	case len(m.tasks) > 0 && hm.leaseExpired(m) && hm.silentFor(m, ids.Drift(hm.core.opt.Lease)):
 		for _, a := range m.tasksSnapshot() {
 			if !a.recordInFlight {
+				hm.core.zones.lost(a)
 				hm.core.release(a)
 			}
 		}
--- a/scheduler/machine_registry.go
+++ b/scheduler/machine_registry.go
@@ -172,6 +172,7 @@
 func (r *machineRegistry) removeMachine(m *machine) {
 	for _, a := range m.tasksSnapshot() {
 		if !a.recordInFlight {
+			r.core.zones.lost(a)
 			r.core.release(a)
 		}
 	}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -5,6 +5,7 @@
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/scheduler/quota"
+	"ospreystile.example/ospreystile/zonereturn"
 )
 
 // Options are the settings of one term of leadership.
@@ -65,4 +66,6 @@
 	// WallClockMS is the time of day when the term begins, to tell how long jobs
 	// have waited already; 0: not known.
 	WallClockMS int64
+	// ZoneReturn is how zones that fall silent are watched and return; nil: they are not.
+	ZoneReturn *zonereturn.Policy
 }
--- a/scheduler/placement/placement.go
+++ b/scheduler/placement/placement.go
@@ -105,8 +105,13 @@
 	LatencySensitive bool    // the job's class must start within seconds
 	SpotRisk         float64 // chance that a spot machine is taken during the task
 	Suspect          bool    // the machine failed tasks or runs them slowly
+	Unproven         bool    // the zone has been lost and has yet to show that it works
 }
 
+// unprovenZonePenalty is what a zone that was lost a moment ago counts for a service: more
+// than a cached image, less than one where starts must come within seconds.
+const unprovenZonePenalty = 40
+
 // Score ranks offers for a job; the largest goes first. Kind of machine weighs
 // most, since spot work on ordinary machines takes room from work that has no
 // choice, and for classes that must start within seconds the image does.
@@ -133,6 +138,9 @@
 	if o.Suspect {
 		score -= 500
 	}
+	if s.Service && o.Unproven {
+		score -= unprovenZonePenalty
+	}
 	if s.Service {
 		score -= 15*float64(o.SameJob) + 5*float64(o.SameZone)
 	}
--- a/scheduler/preemption_plan.go
+++ b/scheduler/preemption_plan.go
@@ -133,7 +133,7 @@
 
 // planOn tells what it would cost to make room on a machine.
 func (r *preemptor) planOn(j *job, m *machine, by claim) (preemptionPlan, bool) {
-	if !placement.Allowed(j.spec, m.Site) || r.core.hasAntiAffinity(j, m) || r.core.reservedForOther(m, j) && r.core.starving(m.reservedFor) {
+	if !placement.Allowed(j.spec, m.Site) || !r.core.zones.admits(j, j.pending[len(j.pending)-1], m) || r.core.hasAntiAffinity(j, m) || r.core.reservedForOther(m, j) && r.core.starving(m.reservedFor) {
 		return preemptionPlan{}, false
 	}
 	need, free := placement.Of(j.spec), r.expectedFree(m)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -7,7 +7,8 @@
 )
 
 // waitingJobs lists the jobs with tasks to place: by priority, then those that have
-// waited too long, then by creation time, or for pipelines by when they should start.
+// waited too long, then by creation time, or for pipelines by when they should start. While
+// a zone's work may have to move, services go before other jobs of their priority.
 func (c *Core) waitingJobs() []*job {
 	var out []*job
 	for _, j := range c.jobs {
@@ -20,6 +21,7 @@
 		}
 		out = append(out, j)
 	}
+	evacuating := c.zones.evacuating()
 	sort.Slice(out, func(i, k int) bool {
 		a, b := out[i], out[k]
 		if a.priority != b.priority {
@@ -28,6 +30,9 @@
 		if x, y := c.agedToFront(a), c.agedToFront(b); x != y {
 			return x
 		}
+		if evacuating && a.spec.Service != b.spec.Service {
+			return a.spec.Service
+		}
 		if a.orderMS != b.orderMS {
 			return a.orderMS < b.orderMS
 		}
--- a/scheduler/record_outcomes.go
+++ b/scheduler/record_outcomes.go
@@ -17,6 +17,9 @@
 
 // settleChange takes the definite outcome of a change into account.
 func (w *recordWriter) settleChange(o ledger.Outcome) {
+	if w.core.zones.settle(o) {
+		return
+	}
 	p := w.pendingChanges[o.Change.ID]
 	if p == nil {
 		return
--- a/scheduler/record_writer.go
+++ b/scheduler/record_writer.go
@@ -244,11 +244,16 @@
 
 // submitChange hands a change out with the step's effects.
 func (w *recordWriter) submitChange(p *pendingChange, ch ledger.Change) {
+	w.pendingChanges[w.submitOther(ch)] = p
+}
+
+// submitOther hands out a change whose outcome is for another part, and names it.
+func (w *recordWriter) submitOther(ch ledger.Change) (id uint64) {
 	w.nextChange++
 	ch.ID = w.nextChange
-	w.pendingChanges[ch.ID] = p
 	w.writeBudget -= float64(len(ch.Apply))
 	w.core.effects.Changes = append(w.core.effects.Changes, ch)
+	return ch.ID
 }
 
 // nextNonce names the next change. No two leaders share a revision, so no two changes
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -121,6 +121,7 @@
 			a.sent = false
 			return
 		}
+		c.zones.lost(a)
 		c.release(a)
 	case a.seen && a.stopReason == stopNone:
 		// A worker keeps what it has until reap. Should one vanish all the
@@ -142,6 +143,7 @@
 		a.phaseSince, a.pausedBefore = c.now, c.totalPause
 		if s.state == wire.TaskRunning {
 			c.recordImage(a)
+			c.zones.running(a)
 		}
 	}
 }
@@ -154,6 +156,7 @@
 	}
 	switch cause {
 	case wire.CauseDone:
+		c.zones.running(a) // it did, if only between two reports
 		c.completeTask(a)
 		clear(m.failuresByJob)
 		return
--- a/scheduler/search.go
+++ b/scheduler/search.go
@@ -19,6 +19,7 @@
 	zone          ids.Zone
 	image         ids.Image // where only machines that hold it will do
 	openZones     uint64    // the zones that the job's other tasks leave open
+	gate          gateClass // what zones that return look at
 	tasksTogether int       // how many must find room together
 }
 
@@ -43,7 +44,7 @@
 			sh.openZones |= 1 << i
 		}
 	}
-	return sh, true
+	return sh, adm.core.zones.request(j, &sh)
 }
 
 // candidateSearch finds machines for the tasks of one job, one after the other. All
@@ -153,7 +154,7 @@
 		for z.Len() > 0 && z.list[0].machine.reportsTask(ref) {
 			aside = append(aside, heap.Pop(z).(candidate))
 		}
-		if z.Len() > 0 {
+		if z.Len() > 0 && s.core.zones.admits(s.job, index, z.list[0].machine) {
 			top := z.list[0]
 			s.core.admission.MachinesExamined++
 			top.score = s.score(top.machine, s.job.zones[z.zone])
@@ -192,6 +193,7 @@
 		o.SpotRisk = adm.core.autoscaler.spotRisk(j)
 	}
 	o.LatencySensitive = adm.core.latencySensitive(j)
+	o.Unproven = adm.core.zones.unproven(m.Zone)
 	o.HostsServices = m.replicas > 0
 	o.Fetching = m.fetches[j.spec.Image] > 0
 	return o
--- /dev/null
+++ b/scheduler/zone_return.go
@@ -0,0 +1,365 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/ledger"
+	"ospreystile.example/ospreystile/scheduler/placement"
+	"ospreystile.example/ospreystile/wire"
+	"ospreystile.example/ospreystile/zonereturn"
+)
+
+// zoneGate connects the core with the state machines of zones that fall silent and return.
+// It is nil where the operators did not turn that on: its methods then change nothing.
+type zoneGate struct {
+	core    *Core
+	manager *zonereturn.Manager
+	view    zonereturn.View
+	// writes are the zones whose records are on their way, by change.
+	writes map[uint64]zoneWrite
+	// coming counts the machines on their way to each zone, as of comingAt.
+	coming   map[ids.Zone]int
+	comingAt ids.Instant
+}
+
+// zoneWrite is a zone's record on its way to the state service.
+type zoneWrite struct {
+	zone    ids.Zone
+	dropped bool
+}
+
+// newZoneGate makes the gate of a term; a nil policy turns it off.
+func newZoneGate(c *Core, policy *zonereturn.Policy) *zoneGate {
+	if policy == nil {
+		return nil
+	}
+	return &zoneGate{core: c, manager: zonereturn.NewManager(policy), writes: map[uint64]zoneWrite{}}
+}
+
+// moment is the present time. Where the time of day is not known, the steady clock stands
+// in: it serves to compare what one process wrote.
+func (c *Core) moment() zonereturn.Moment {
+	wall := c.wallClockMS()
+	if wall == 0 {
+		wall = time.Duration(c.now).Milliseconds()
+	}
+	return zonereturn.Moment{Now: c.now, Wall: time.UnixMilli(wall)}
+}
+
+// LoadZone takes in the record of a zone that a predecessor left. It does nothing where
+// zones are not watched.
+func (c *Core) LoadZone(now ids.Instant, zone ids.Zone, record *zonereturn.Record, revision ids.Revision) {
+	if c.zones == nil {
+		return
+	}
+	c.beginClock(now)
+	c.zones.manager.Load(zone, record, revision, c.moment())
+}
+
+// LoadUnreadableZone takes note of a zone's record that makes no sense.
+func (c *Core) LoadUnreadableZone(now ids.Instant, zone ids.Zone, revision ids.Revision) {
+	if c.zones == nil {
+		return
+	}
+	c.beginClock(now)
+	c.zones.manager.LoadUnreadable(zone, revision, c.moment())
+}
+
+// beginClock sets the clock before the term has begun.
+func (c *Core) beginClock(now ids.Instant) { c.now, c.termBegan = now, now }
+
+// ObserveView takes in what the leader knows of its own place among the controllers.
+func (c *Core) ObserveView(view zonereturn.View) {
+	if c.zones != nil {
+		c.zones.view = view
+	}
+}
+
+// OverrideZone carries out an operator's decision. It returns a number that
+// ZoneOverrideRecorded compares; ok is false where zones are not watched.
+func (c *Core) OverrideZone(now ids.Instant, zone ids.Zone, o zonereturn.Override) (number uint64, ok bool) {
+	if c.zones == nil {
+		return 0, false
+	}
+	c.now, c.schedulingDue = now, true
+	return c.zones.manager.Override(zone, o, c.moment()), true
+}
+
+// ZoneOverrideRecorded tells whether an operator's decision is recorded.
+func (c *Core) ZoneOverrideRecorded(zone ids.Zone, number uint64) bool {
+	return c.zones != nil && c.zones.manager.RecordedOverride(zone) >= number
+}
+
+// ZoneStatus lists the zones for operators; nil where they are not watched.
+func (c *Core) ZoneStatus(now ids.Instant) []zonereturn.Status {
+	if c.zones == nil {
+		return nil
+	}
+	c.now = now
+	return c.zones.manager.Status(c.moment())
+}
+
+// begin counts what a predecessor placed as starts under way, until reports show it.
+func (g *zoneGate) begin() {
+	if g == nil {
+		return
+	}
+	for _, m := range g.core.registry.machineList {
+		if m.Zone == "" {
+			continue // by a record of an older version; its report tells
+		}
+		for _, a := range m.taskList {
+			g.manager.Inherited(m.Zone, g.startOf(a.job, a.index, m), g.core.now)
+		}
+	}
+}
+
+// observe hands the evidence of all zones to their state machines.
+func (g *zoneGate) observe() {
+	if g == nil {
+		return
+	}
+	view := g.view
+	view.ProcessResumed = g.core.resumedAt != 0 && g.core.now < g.core.resumedAt.Add(g.silenceLimit())
+	if g.manager.Observe(g.core.moment(), zonereturn.Observation{Zones: g.evidence(), View: view}) {
+		g.core.schedulingDue = true
+	}
+	g.core.effects.ZoneEvents = append(g.core.effects.ZoneEvents, g.manager.TakeEvents()...)
+}
+
+// silenceLimit is how long a machine may leave between two reports until it counts as
+// silent; beyond it nothing new is placed there either.
+func (g *zoneGate) silenceLimit() time.Duration { return g.core.opt.Report*3/2 + 1500*time.Millisecond }
+
+// evidence counts the machines of each zone.
+func (g *zoneGate) evidence() map[ids.Zone]zonereturn.Evidence {
+	out := map[ids.Zone]zonereturn.Evidence{}
+	for _, m := range g.core.registry.machineList {
+		if m.Zone == "" || m.returning || !m.reported && len(m.tasks) == 0 {
+			continue
+		}
+		e := out[m.Zone]
+		e.Known++
+		silent := g.core.health.silentFor(m, g.silenceLimit())
+		switch {
+		case silent:
+			e.Silent++
+		case m.reported:
+			e.Heard++
+		}
+		if m.listedStatus == wire.MachineFailed {
+			e.Failed++
+		}
+		out[m.Zone] = e
+	}
+	for zone, e := range out {
+		e.RentalsRefused = g.core.autoscaler.zoneRefused(zone)
+		out[zone] = e
+	}
+	return out
+}
+
+// startOf describes a task that looks for a place on a machine.
+func (g *zoneGate) startOf(j *job, index int, m *machine) *zonereturn.Start {
+	fetch := m.images[j.spec.Image] == nil
+	return &zonereturn.Start{
+		Task:     ids.TaskRef{Job: j.id, Index: index},
+		Critical: g.critical(j),
+		Small:    g.small(j),
+		Fetch:    fetch,
+		Sharing:  fetch && m.fetchesAnother(j.spec.Image),
+		Host:     m.host,
+		Image:    j.spec.Image,
+		Patient:  !g.impatient(j),
+	}
+}
+
+// fetchesAnother tells whether the machine fetches an image other than the given one.
+func (m *machine) fetchesAnother(but ids.Image) bool {
+	for _, a := range m.taskList {
+		if image := a.job.spec.Image; image != but && a.stopReason == stopNone && a.phase != wire.TaskRunning && m.images[image] == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// critical tells whether the ramp makes room for a job: services, what must start sooner
+// than a machine boots, and jobs of the highest priority.
+func (g *zoneGate) critical(j *job) bool {
+	return j.spec.Service || j.priority == wire.Critical || g.core.latencySensitive(j)
+}
+
+// small tells whether tasks of a job may prove a zone: each can run again by itself, and is
+// expected to end soon.
+func (g *zoneGate) small(j *job) bool {
+	return !j.spec.Service && !j.spec.Gang && g.core.estimates.expectedRun(j.spec) <= g.manager.SmallRun()
+}
+
+// impatient tells whether a job has waited for so long that its earlier moves no longer
+// keep it from a zone.
+func (g *zoneGate) impatient(j *job) bool {
+	return g.core.now > j.waitingSince.Add(g.manager.Patience())
+}
+
+// gated tells whether anything may be denied in a zone now.
+func (g *zoneGate) gated(zone ids.Zone) bool { return g != nil && g.manager.Gated(zone) }
+
+// admits tells whether a task may start on a machine now.
+func (g *zoneGate) admits(j *job, index int, m *machine) bool {
+	if !g.gated(m.Zone) {
+		return true
+	}
+	return g.manager.Admit(m.Zone, g.startOf(j, index, m)) == zonereturn.Admitted
+}
+
+// evacuating tells whether work of some zone may have to find room elsewhere.
+func (g *zoneGate) evacuating() bool { return g != nil && g.manager.Evacuating() }
+
+// unproven tells whether a zone returns and has yet to show that it works.
+func (g *zoneGate) unproven(zone ids.Zone) bool {
+	return g != nil && g.manager.Condition(zone) == zonereturn.Returning
+}
+
+// request adds to a placement request what the gate looks at; ok is false for a job that is
+// like no other.
+func (g *zoneGate) request(j *job, sh *placementRequest) (ok bool) {
+	if !g.evacuating() {
+		return true
+	}
+	sh.image = j.spec.Image
+	sh.gate = gateClass{evaluated: true, critical: g.critical(j), small: g.small(j)}
+	return !g.manager.Tracks(j.id)
+}
+
+// gateClass is what the gate looks at of a job, beside its image.
+type gateClass struct{ evaluated, critical, small bool }
+
+// started notes that a task was placed.
+func (g *zoneGate) started(a *assignment) {
+	if g != nil {
+		g.manager.Started(a.machine.Zone, g.startOf(a.job, a.index, a.machine), g.core.now)
+	}
+}
+
+// running notes that a task was seen to run.
+func (g *zoneGate) running(a *assignment) {
+	if g != nil && g.manager.Running(a.machine.Zone, a.ref(), g.core.now) {
+		g.core.schedulingDue = true
+	}
+}
+
+// detached notes that a task is off its machine.
+func (g *zoneGate) detached(a *assignment) {
+	if g != nil && g.manager.Ended(a.machine.Zone, a.ref(), g.core.now) {
+		g.core.schedulingDue = true
+	}
+}
+
+// failed notes that a task failed. One whose job fails everywhere says nothing of the zone.
+func (g *zoneGate) failed(a *assignment) {
+	if g != nil && a.job.failureRounds == 0 {
+		g.manager.Failed(a.machine.Zone, a.job.id)
+	}
+}
+
+// lost notes that a task that should have gone on was lost with its machine.
+func (g *zoneGate) lost(a *assignment) {
+	if g != nil && a.stopReason == stopNone && !a.job.terminal() && a.mayRun() {
+		g.manager.Displaced(a.machine.Zone, a.job.id)
+	}
+}
+
+// blocksRental tells whether no machine may be rented in a zone now.
+func (g *zoneGate) blocksRental(zone ids.Zone) bool {
+	if g == nil {
+		return false
+	}
+	most, limited := g.rentalRoom(zone)
+	return limited && most == 0
+}
+
+// rentalRoom is how many more machines may be rented in a zone now, if that is limited.
+func (g *zoneGate) rentalRoom(zone ids.Zone) (most int, limited bool) {
+	limit, limited := g.manager.RentalLimit(zone)
+	if limit == 0 {
+		return 0, limited
+	}
+	if g.comingAt != g.core.now || g.coming == nil {
+		g.comingAt, g.coming = g.core.now, g.core.autoscaler.comingByZone()
+	}
+	return max(0, limit-g.coming[zone]), limited
+}
+
+// limitRental bounds a purchase by what may be on its way to the zone at once.
+func (g *zoneGate) limitRental(zone ids.Zone, count int) int {
+	if g == nil {
+		return count
+	}
+	if most, limited := g.rentalRoom(zone); limited {
+		return min(count, most)
+	}
+	return count
+}
+
+// addReturning counts the free room of zones that return: it opens sooner than another
+// machine boots.
+func (g *zoneGate) addReturning(add func(placement.Site, placement.Resources)) {
+	if !g.evacuating() {
+		return
+	}
+	for _, m := range g.core.registry.machineList {
+		if g.unproven(m.Zone) && g.core.health.takesTasks(m) {
+			add(m.Site, m.free())
+		}
+	}
+}
+
+// writeRecords writes the zones' records that are due, as far as the write rate allows.
+func (g *zoneGate) writeRecords() {
+	if g == nil {
+		return
+	}
+	w := g.core.records
+	fits := func(record *zonereturn.Record) bool { return !wire.Exceeds(record, g.core.opt.ValueBytes) }
+	for w.mayWrite() {
+		write, ok := g.manager.NextWrite(g.core.moment(), w.nextNonce(), fits)
+		if !ok {
+			return
+		}
+		change := ledger.ZoneDropChange(write.Zone, write.Revision)
+		if write.Record != nil {
+			change = ledger.ZoneChange(write.Zone, write.Revision, write.Record)
+		}
+		g.writes[w.submitOther(change)] = zoneWrite{zone: write.Zone, dropped: write.Record == nil}
+	}
+}
+
+// settle takes the outcome of a change into account if it is a zone's record.
+func (g *zoneGate) settle(o ledger.Outcome) (ours bool) {
+	if g == nil {
+		return false
+	}
+	write, ours := g.writes[o.Change.ID]
+	if !ours {
+		return false
+	}
+	delete(g.writes, o.Change.ID)
+	switch {
+	case o.Applied:
+		revision := o.Revision
+		if write.dropped {
+			revision = 0
+		}
+		if g.manager.Written(write.zone, revision) {
+			g.core.schedulingDue = true
+		}
+	case o.Refused:
+		g.manager.Refused(write.zone)
+	default:
+		g.core.recordsErr = fmt.Errorf("record of zone %s moved without this leader: %v", write.zone, o.Failed)
+	}
+	return true
+}
--- /dev/null
+++ b/zonereturn/condition.go
@@ -0,0 +1,69 @@
+// Package zonereturn decides when a zone counts as dark and how its work returns once its
+// machines are heard again. It is a state machine without I/O: the scheduler's core hands it
+// the time and what is known of the machines, asks it before it places a task, and writes
+// the records that it asks for. docs/zone-return.md gives the reasons.
+package zonereturn
+
+import (
+	"fmt"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// Condition is what a zone is taken for.
+type Condition uint8
+
+// The conditions of a zone.
+const (
+	// Serving: the zone takes work like any other.
+	Serving Condition = iota
+	// Suspect: many of its machines fell silent. Nothing new starts there.
+	Suspect
+	// Dark: it is taken to be lost. Its work moves once that is surely gone, and nothing
+	// starts there until its machines have been heard for the hold-down.
+	Dark
+	// Returning: it is back, and its share of starts grows in steps.
+	Returning
+)
+
+var conditionNames = [...]string{Serving: "serving", Suspect: "suspect", Dark: "dark", Returning: "returning"}
+
+// String is the condition's name for operators.
+func (c Condition) String() string {
+	if int(c) < len(conditionNames) {
+		return conditionNames[c]
+	}
+	return fmt.Sprintf("condition-%d", uint8(c))
+}
+
+// MarshalText writes the condition's name.
+func (c Condition) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText reads a condition's name.
+func (c *Condition) UnmarshalText(text []byte) error {
+	for i, name := range conditionNames {
+		if name == string(text) {
+			*c = Condition(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown condition %q", text)
+}
+
+// Moment is a reading of the steady clock and of the time of day, taken together. Decisions
+// go by the steady clock; records and operators' windows need the time of day.
+type Moment struct {
+	Now  ids.Instant
+	Wall time.Time
+}
+
+// toInstant turns a recorded time of day into a reading of this process's steady clock.
+// What lies ahead, as clocks of two controllers may differ, counts as now.
+func (m Moment) toInstant(unixMS int64) ids.Instant {
+	age := m.Wall.Sub(time.UnixMilli(unixMS))
+	return m.Now.Add(-max(0, age))
+}
+
+// toWall turns a reading of the steady clock into the time of day.
+func (m Moment) toWall(at ids.Instant) time.Time { return m.Wall.Add(at.Sub(m.Now)) }
--- /dev/null
+++ b/zonereturn/evidence.go
@@ -0,0 +1,73 @@
+package zonereturn
+
+import (
+	"fmt"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// Evidence is what the leader knows of one zone's machines at a moment. It counts distinct
+// machines, never reports.
+type Evidence struct {
+	// Known are the machines that reported to this leader or hold tasks by the records,
+	// and were not returned.
+	Known int
+	// Heard are those that reported lately.
+	Heard int
+	// Silent are those that were not heard for longer than a report may take. A machine
+	// that a new leader has yet to hear from is neither heard nor silent for a while.
+	Silent int
+	// Failed are those that the cloud lists as failed.
+	Failed int
+	// RentalsRefused tells that the cloud lately refused every kind of machine there.
+	RentalsRefused bool
+}
+
+// lost is how many machines are of no use.
+func (e Evidence) lost() int { return min(e.Known, max(e.Silent, e.Failed)) }
+
+// String is the evidence in an operator's words.
+func (e Evidence) String() string {
+	text := fmt.Sprintf("%d of %d machines heard, %d silent", e.Heard, e.Known, e.Silent)
+	if e.Failed > 0 {
+		text += fmt.Sprintf(", %d listed as failed", e.Failed)
+	}
+	if e.RentalsRefused {
+		text += ", rentals refused"
+	}
+	return text
+}
+
+// View is what the leader knows of its own place: whether what it does not hear tells more
+// of others than of itself.
+type View struct {
+	// StateSure tells that the state service confirmed the leader's key lately.
+	StateSure bool
+	// PeersHeard are the other controllers that answered lately, of so many.
+	PeersHeard, Peers int
+	// ProcessResumed tells that the leader's process was paused a moment ago: what
+	// machines said meanwhile is still to be read.
+	ProcessResumed bool
+}
+
+// sound tells whether the leader may call a zone dark: it holds the state service, and a
+// majority of the controllers with itself. One that is cut off sees all other zones silent.
+func (v View) sound() bool {
+	return v.StateSure && !v.ProcessResumed && 2*(v.PeersHeard+1) > v.Peers+1
+}
+
+// Observation is the evidence of all zones at a moment.
+type Observation struct {
+	Zones map[ids.Zone]Evidence
+	View  View
+}
+
+// anyHeard tells whether any machine at all is heard.
+func (o *Observation) anyHeard() bool {
+	for _, e := range o.Zones {
+		if e.Heard > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/zonereturn/gate.go
@@ -0,0 +1,109 @@
+package zonereturn
+
+import (
+	"fmt"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// Denial is why a task may not start in a zone now.
+type Denial uint8
+
+// The reasons for a denial.
+const (
+	Admitted Denial = iota
+	DeniedHeld
+	DeniedSuspect
+	DeniedDark
+	DeniedUnrecorded
+	DeniedWindow
+	DeniedProbe
+	DeniedStarts
+	DeniedFetches
+	DeniedBudget
+)
+
+var denialNames = [...]string{
+	Admitted: "admitted", DeniedHeld: "held by an operator", DeniedSuspect: "suspect", DeniedDark: "dark",
+	DeniedUnrecorded: "the return is not recorded yet", DeniedWindow: "a window for critical work", DeniedProbe: "only probes",
+	DeniedStarts: "starts under way", DeniedFetches: "fetches under way", DeniedBudget: "came back before",
+}
+
+// String is the reason in words.
+func (d Denial) String() string {
+	if int(d) < len(denialNames) {
+		return denialNames[d]
+	}
+	return fmt.Sprintf("denial-%d", uint8(d))
+}
+
+// admit tells whether a task may start in the zone now.
+func (z *zone) admit(s *Start) Denial {
+	switch {
+	case z.override.Kind == OverrideHold:
+		return DeniedHeld
+	case z.condition == Suspect:
+		return DeniedSuspect
+	case z.condition == Dark:
+		return DeniedDark
+	case !z.record.allows(z.condition):
+		return DeniedUnrecorded
+	case s.Patient && z.displaced.exhausted(s.Task.Job, z.policy.MoveBudget):
+		return DeniedBudget
+	case z.condition == Serving || s.Critical:
+		return Admitted
+	}
+	return z.admitReturning(s)
+}
+
+// admitReturning tells whether a task that is not critical may start in a zone that
+// returns.
+func (z *zone) admitReturning(s *Start) Denial {
+	step := z.record.allowedStep(z.ramp.step)
+	switch {
+	case z.window != nil:
+		return DeniedWindow
+	case step == 0 && !s.Small:
+		return DeniedProbe
+	case z.starts.returning >= z.policy.startLimit(step, z.evidence.Heard):
+		return DeniedStarts
+	case !s.Fetch || z.starts.fetches[fetchKey{s.Host, s.Image}] > 0:
+		return Admitted
+	case s.Sharing || len(z.starts.fetches) >= z.policy.fetchLimit(step, z.evidence.Heard):
+		return DeniedFetches
+	}
+	return Admitted
+}
+
+// started notes that a task was placed in the zone.
+func (z *zone) started(s *Start, now ids.Instant) (bounced bool) {
+	ramped := z.condition == Returning
+	z.starts.add(s, now, ramped)
+	if ramped && !s.Critical {
+		z.ramp.started++
+	}
+	if bounced = z.displaced.comeBack(s.Task.Job); bounced {
+		z.record.lazy = true
+	}
+	return bounced
+}
+
+// startEnded notes that a task runs, or is gone before it did.
+func (z *zone) startEnded(task ids.TaskRef, ran bool, now ids.Instant, usual *latencies) {
+	p, ok := z.starts.remove(task)
+	if !ok || !ran {
+		if ok && p.ramped && !p.critical {
+			z.ramp.started = max(0, z.ramp.started-1)
+		}
+		return
+	}
+	took := now.Sub(p.since)
+	if z.condition != Returning {
+		usual.record(took)
+		return
+	}
+	if p.ramped && !p.critical {
+		z.ramp.succeeded++
+		z.ramp.startTimes.record(took)
+	}
+}
--- /dev/null
+++ b/zonereturn/manager.go
@@ -0,0 +1,245 @@
+package zonereturn
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// Manager holds the state machines of all zones for one term of a leader.
+type Manager struct {
+	policy *Policy
+	zones  map[ids.Zone]*zone
+	// usualStarts are start times in zones that do not return, to compare with.
+	usualStarts *latencies
+	stats       Stats
+	view        View
+}
+
+// Stats counts what the subsystem did, for logs and measurements.
+type Stats struct {
+	// Displaced counts tasks that were lost with a dark zone, and Bounces the jobs that
+	// came back to a zone which displaced them.
+	Displaced, Bounces int
+	// WorstBounces is how often the job that came back most often did so in one incident.
+	WorstBounces int
+	// Denied counts the admissions that were turned away, by reason.
+	Denied [DeniedBudget + 1]int
+	// PeakStarts is the most starts that are not critical under way in a zone that
+	// returns, as a part of what its step allowed.
+	PeakStarts float64
+}
+
+// NewManager makes a manager that knows no zone yet.
+func NewManager(policy *Policy) *Manager {
+	return &Manager{policy: policy, zones: map[ids.Zone]*zone{}, usualStarts: newLatencies()}
+}
+
+// zone finds a zone, or makes one that serves.
+func (m *Manager) zone(name ids.Zone, now ids.Instant) *zone {
+	z := m.zones[name]
+	if z == nil {
+		z = newZone(name, m.policy, now)
+		z.record.jobLimit = maxRecordedJobs
+		m.zones[name] = z
+	}
+	return z
+}
+
+// sortedZones lists the zones by name: whatever reaches a decision goes in this order.
+func (m *Manager) sortedZones() []ids.Zone { return slices.Sorted(maps.Keys(m.zones)) }
+
+// Load takes in the record of a zone that a predecessor left.
+func (m *Manager) Load(name ids.Zone, rec *Record, revision ids.Revision, at Moment) {
+	m.zone(name, at.Now).load(rec, revision, at)
+}
+
+// LoadUnreadable takes note of a record that makes no sense.
+func (m *Manager) LoadUnreadable(name ids.Zone, revision ids.Revision, at Moment) {
+	m.zone(name, at.Now).loadUnreadable(revision, at)
+}
+
+// Observe takes in what is known of all zones. It tells whether more may start than before.
+func (m *Manager) Observe(at Moment, o Observation) (opened bool) {
+	m.view = o.View
+	anyHeard := o.anyHeard()
+	for _, name := range slices.Sorted(maps.Keys(o.Zones)) {
+		m.zone(name, at.Now)
+	}
+	for _, name := range m.sortedZones() {
+		z := m.zones[name]
+		condition, step, window := z.condition, z.ramp.step, z.window
+		z.observe(at, o.Zones[name], o.View, anyHeard)
+		if z.condition == Returning && z.ramp.step > 0 && z.ramp.startTimes.slowerThan(m.usualStarts, m.policy.SlowStartFactor) {
+			z.setBack(at.Now, "starts are slow")
+		}
+		opened = opened || z.condition != condition || z.ramp.step != step || z.window != window
+	}
+	return opened
+}
+
+// Admit tells whether a task may start in a zone now.
+func (m *Manager) Admit(name ids.Zone, s *Start) Denial {
+	z := m.zones[name]
+	if z == nil {
+		return Admitted
+	}
+	denial := z.admit(s)
+	if denial != Admitted {
+		m.stats.Denied[denial]++
+		if z.condition == Returning && !s.Critical {
+			z.ramp.denied = true
+		}
+	}
+	return denial
+}
+
+// Started notes that a task was placed in a zone.
+func (m *Manager) Started(name ids.Zone, s *Start, now ids.Instant) {
+	z := m.zone(name, now)
+	if z.started(s, now) {
+		m.stats.Bounces++
+		m.stats.WorstBounces = max(m.stats.WorstBounces, z.displaced.worst())
+	}
+	if z.condition == Returning {
+		limit := z.policy.startLimit(z.ramp.step, z.evidence.Heard)
+		m.stats.PeakStarts = max(m.stats.PeakStarts, float64(z.starts.returning)/float64(limit))
+	}
+}
+
+// Inherited notes that a predecessor placed a task in a zone. It counts as under way until
+// it is seen to run.
+func (m *Manager) Inherited(name ids.Zone, s *Start, now ids.Instant) {
+	m.zone(name, now).starts.add(s, now, false)
+}
+
+// Running notes that a task runs. It tells whether that may let others start.
+func (m *Manager) Running(name ids.Zone, task ids.TaskRef, now ids.Instant) (opened bool) {
+	return m.startEnded(name, task, true, now)
+}
+
+// Ended notes that a task is off its machine, whether or not it ran.
+func (m *Manager) Ended(name ids.Zone, task ids.TaskRef, now ids.Instant) (opened bool) {
+	return m.startEnded(name, task, false, now)
+}
+
+func (m *Manager) startEnded(name ids.Zone, task ids.TaskRef, ran bool, now ids.Instant) bool {
+	z := m.zones[name]
+	if z == nil {
+		return false
+	}
+	z.startEnded(task, ran, now, m.usualStarts)
+	return z.condition == Returning
+}
+
+// Failed notes that a task failed in a zone.
+func (m *Manager) Failed(name ids.Zone, job ids.JobID) {
+	if z := m.zones[name]; z != nil && z.condition == Returning {
+		z.ramp.fail(job)
+	}
+}
+
+// Displaced notes that a task was lost with its machine. It counts while the zone is in
+// trouble, also during its return: not all machines come back.
+func (m *Manager) Displaced(name ids.Zone, job ids.JobID) {
+	z := m.zones[name]
+	if z == nil || z.condition == Serving {
+		return
+	}
+	m.stats.Displaced++
+	if z.displaced.lose(job) {
+		z.record.lazy = true
+	}
+}
+
+// Evacuating tells whether work of some zone may have to find room elsewhere.
+func (m *Manager) Evacuating() bool {
+	for _, z := range m.zones {
+		if z.condition != Serving {
+			return true
+		}
+	}
+	return false
+}
+
+// Condition is what a zone is taken for.
+func (m *Manager) Condition(name ids.Zone) Condition {
+	if z := m.zones[name]; z != nil {
+		return z.condition
+	}
+	return Serving
+}
+
+// Gated tells whether anything may be denied in a zone now.
+func (m *Manager) Gated(name ids.Zone) bool {
+	z := m.zones[name]
+	return z != nil && (z.condition != Serving || z.flaps > 0 || z.override.Kind != OverrideNone || !z.record.allows(Serving))
+}
+
+// RentalLimit is how many machines may be on their way to a zone at once; limited is false
+// where there is no limit.
+func (m *Manager) RentalLimit(name ids.Zone) (most int, limited bool) {
+	z := m.zones[name]
+	switch {
+	case z == nil:
+		return 0, false
+	case z.override.Kind == OverrideHold || z.condition == Suspect || z.condition == Dark:
+		return 0, true
+	case z.condition == Returning:
+		return z.policy.rentalLimit(z.record.allowedStep(z.ramp.step), z.machinesBefore), true
+	}
+	return 0, false
+}
+
+// Patience is how long a job waits until its budget of moves no longer counts.
+func (m *Manager) Patience() time.Duration { return m.policy.Patience }
+
+// SmallRun is how long a task that proves a zone is expected to run at most.
+func (m *Manager) SmallRun() time.Duration { return m.policy.ProbeMaxRun }
+
+// Stats tells what the subsystem did so far.
+func (m *Manager) Stats() Stats { return m.stats }
+
+// Override carries out an operator's decision about a zone. The number that it returns is
+// recorded once RecordedOverride has reached it.
+func (m *Manager) Override(name ids.Zone, o Override, at Moment) uint64 {
+	if len(o.Reason) > maxReason {
+		o.Reason = o.Reason[:maxReason]
+	}
+	z := m.zone(name, at.Now)
+	z.record.overrideSeq++
+	z.apply(o, at)
+	return z.record.overrideSeq
+}
+
+// RecordedOverride is the number of the newest decision about a zone that is recorded.
+func (m *Manager) RecordedOverride(name ids.Zone) uint64 {
+	if z := m.zones[name]; z != nil {
+		return z.record.recordedSeq
+	}
+	return 0
+}
+
+// TakeEvents hands out the changes of conditions since the last call.
+func (m *Manager) TakeEvents() []Event {
+	var out []Event
+	for _, name := range m.sortedZones() {
+		z := m.zones[name]
+		out = append(out, z.events...)
+		z.events = nil
+	}
+	return out
+}
+
+// Tracks tells whether a job was displaced in an incident that is not over: what it may do
+// differs from what others like it may.
+func (m *Manager) Tracks(job ids.JobID) bool {
+	for _, z := range m.zones {
+		if z.displaced.jobs[job] != nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/zonereturn/record.go
@@ -0,0 +1,160 @@
+package zonereturn
+
+import (
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// Record is what a successor must know of a zone.
+type Record struct {
+	// Nonce names this very write, as in all records.
+	Nonce     uint64 `msgpack:"w"`
+	Condition uint8  `msgpack:"c"`
+	SinceMS   int64  `msgpack:"s"`
+	// BeganMS is when the return began.
+	BeganMS  int64 `msgpack:"b,omitempty"`
+	Step     int   `msgpack:"p,omitempty"`
+	Flaps    int   `msgpack:"f,omitempty"`
+	Spell    int   `msgpack:"l,omitempty"`
+	Machines int   `msgpack:"m,omitempty"`
+	// Jobs are the displaced jobs, those that came back most often first. Counts holds
+	// for each how often it lost tasks, in which spell last, how often it came back, and
+	// in which spell last. Omitted counts those that did not fit.
+	Jobs    []ids.JobID `msgpack:"j,omitempty"`
+	Counts  []int       `msgpack:"n,omitempty"`
+	Omitted int         `msgpack:"o,omitempty"`
+	// Override, OverrideReason and OverrideUntilMS are the operators' decision.
+	Override        uint8  `msgpack:"h,omitempty"`
+	OverrideReason  string `msgpack:"r,omitempty"`
+	OverrideUntilMS int64  `msgpack:"t,omitempty"`
+}
+
+// countsPerJob is how many numbers Record.Counts holds for a job.
+const countsPerJob = 4
+
+// maxRecordedJobs bounds the jobs in a record, and maxReason the operators' words.
+const (
+	maxRecordedJobs = 200
+	maxReason       = 200
+)
+
+// recordState is how a zone stands to its record.
+type recordState struct {
+	revision ids.Revision
+	// dirty tells that the record lags behind and must be written, lazy that it may be
+	// written with a delay.
+	dirty, lazy bool
+	lazySince   ids.Instant
+	inFlight    bool
+	// condition and step are what is recorded, written what is on its way.
+	condition, writtenCondition Condition
+	step, writtenStep           int
+	// jobLimit bounds the jobs in a record; a refused write halves it.
+	jobLimit int
+	// overrideSeq counts the operators' decisions, and recordedSeq those recorded.
+	overrideSeq, writtenSeq, recordedSeq uint64
+}
+
+// allows tells whether the record lets the zone act on a condition. What allows more than
+// the record says waits until it is recorded: a successor that read an older record would
+// allow less, and the two must not add up.
+func (r *recordState) allows(c Condition) bool {
+	switch c {
+	case Serving:
+		return r.condition == Serving
+	case Returning:
+		return r.condition == Returning || r.condition == Serving
+	}
+	return true
+}
+
+// allowedStep is the smaller of the present step and the recorded one.
+func (r *recordState) allowedStep(step int) int {
+	if r.condition == Serving { // a shrink that is not recorded yet
+		return step
+	}
+	return min(step, r.step)
+}
+
+// export makes the record of a zone as it stands.
+func (z *zone) export(at Moment, nonce uint64) Record {
+	rec := Record{
+		Nonce: nonce, Condition: uint8(z.recordable()), SinceMS: at.toWall(z.since).UnixMilli(),
+		Flaps: z.flaps, Spell: z.displaced.spell, Machines: z.machinesBefore,
+		Override: uint8(z.override.Kind), OverrideReason: z.override.Reason, OverrideUntilMS: z.override.UntilMS,
+	}
+	if z.recordable() == Returning {
+		rec.Step, rec.BeganMS = z.ramp.step, at.toWall(z.ramp.began).UnixMilli()
+	}
+	jobs := z.displaced.mostReturned()
+	limit := min(len(jobs), z.record.jobLimit)
+	rec.Omitted = len(jobs) - limit
+	for _, job := range jobs[:limit] {
+		entry := z.displaced.jobs[job]
+		rec.Jobs = append(rec.Jobs, job)
+		rec.Counts = append(rec.Counts, entry.losses, entry.lastSpell, entry.returns, entry.returnedSpell)
+	}
+	return rec
+}
+
+// load takes in the record that a predecessor left.
+func (z *zone) load(rec *Record, revision ids.Revision, at Moment) {
+	z.condition = Condition(rec.Condition)
+	if z.condition > Returning { // of a later version: the most careful that ends by itself
+		z.condition = Dark
+	}
+	z.since = at.toInstant(rec.SinceMS)
+	z.reason = "recorded by an earlier leader"
+	z.flaps, z.machinesBefore = rec.Flaps, rec.Machines
+	z.override = Override{Kind: OverrideKind(rec.Override), Reason: rec.OverrideReason, UntilMS: rec.OverrideUntilMS}
+	z.displaced.spell = rec.Spell
+	for i, job := range rec.Jobs {
+		if k := i * countsPerJob; k+countsPerJob <= len(rec.Counts) {
+			n := rec.Counts[k : k+countsPerJob]
+			z.displaced.jobs[job] = &displacedJob{losses: n[0], lastSpell: n[1], returns: n[2], returnedSpell: n[3]}
+		}
+	}
+	if z.condition == Returning {
+		// The step begins anew: what its starts came to was not recorded.
+		z.ramp.enter(min(rec.Step, len(z.policy.Steps)), at.Now)
+		z.ramp.began = at.toInstant(rec.BeganMS)
+	}
+	z.record.revision = revision
+	z.record.condition, z.record.step = z.condition, z.ramp.step
+}
+
+// loadUnreadable takes note of a record that makes no sense. It is never taken for absent:
+// the zone must show by itself that it is there.
+func (z *zone) loadUnreadable(revision ids.Revision, at Moment) {
+	z.condition, z.since, z.flaps = Dark, at.Now, 1
+	z.displaced.spell = 1
+	z.reason = "the record cannot be read"
+	z.record.revision = revision
+	z.record.condition, z.record.dirty = Dark, true
+}
+
+// lazyDelay is how long the record may lag behind the list of displaced jobs.
+const lazyDelay = 2 * time.Second
+
+// due tells whether the record must be written now.
+func (z *zone) due(now ids.Instant) bool {
+	r := &z.record
+	if r.inFlight {
+		return false
+	}
+	if r.lazy {
+		r.lazy = false
+		if r.lazySince == 0 {
+			r.lazySince = now
+		}
+	}
+	if r.lazySince != 0 && now >= r.lazySince.Add(lazyDelay) {
+		r.dirty = true
+	}
+	if r.dirty && r.revision == 0 && !z.interesting() {
+		// There is no record, and none is needed.
+		r.dirty, r.condition, r.step, r.recordedSeq = false, z.recordable(), z.ramp.step, r.overrideSeq
+	}
+	return r.dirty
+}
--- /dev/null
+++ b/zonereturn/status.go
@@ -0,0 +1,90 @@
+package zonereturn
+
+import (
+	"fmt"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// Status is what operators are told of a zone.
+type Status struct {
+	Zone      ids.Zone  `cbor:"1,keyasint" json:"zone"`
+	Condition Condition `cbor:"2,keyasint" json:"condition"`
+	SinceMS   int64     `cbor:"3,keyasint" json:"since_ms"`
+	Reason    string    `cbor:"4,keyasint" json:"reason"`
+	Known     int       `cbor:"5,keyasint" json:"machines"`
+	Heard     int       `cbor:"6,keyasint" json:"heard"`
+	Flaps     int       `cbor:"7,keyasint" json:"flaps"`
+	// Step and Steps are the ramp's progress, Starts and Fetches what is under way there
+	// that is not critical, with their limits.
+	Step         int `cbor:"8,keyasint" json:"step"`
+	Steps        int `cbor:"9,keyasint" json:"steps"`
+	Starts       int `cbor:"10,keyasint" json:"starts"`
+	StartLimit   int `cbor:"11,keyasint" json:"start_limit"`
+	Fetches      int `cbor:"12,keyasint" json:"fetches"`
+	FetchLimit   int `cbor:"13,keyasint" json:"fetch_limit"`
+	DisplacedIDs int `cbor:"14,keyasint" json:"displaced_jobs"`
+	// Holding is what is held back, and UntilMS until when at the latest, 0 if that is not
+	// known.
+	Holding  string       `cbor:"15,keyasint" json:"holding"`
+	UntilMS  int64        `cbor:"16,keyasint" json:"until_ms"`
+	Override OverrideKind `cbor:"17,keyasint" json:"override"`
+	Recorded bool         `cbor:"18,keyasint" json:"recorded"`
+}
+
+// Status lists all zones by name.
+func (m *Manager) Status(at Moment) []Status {
+	out := make([]Status, 0, len(m.zones))
+	for _, name := range m.sortedZones() {
+		out = append(out, m.zones[name].status(at, m.view))
+	}
+	return out
+}
+
+// status is what operators are told of the zone.
+func (z *zone) status(at Moment, view View) Status {
+	s := Status{
+		Zone: z.name, Condition: z.condition, SinceMS: at.toWall(z.since).UnixMilli(), Reason: z.reason,
+		Known: z.evidence.Known, Heard: z.evidence.Heard, Flaps: z.flaps, Steps: len(z.policy.Steps),
+		Starts: z.starts.returning, Fetches: len(z.starts.fetches), DisplacedIDs: len(z.displaced.jobs),
+		Override: z.override.Kind, Recorded: !z.record.dirty && !z.record.inFlight,
+	}
+	if z.condition == Returning {
+		s.Step = z.ramp.step
+		s.StartLimit = z.policy.startLimit(s.Step, z.evidence.Heard)
+		s.FetchLimit = z.policy.fetchLimit(s.Step, z.evidence.Heard)
+	}
+	var until time.Time
+	if s.Holding, until = z.holding(at, view); !until.IsZero() {
+		s.UntilMS = until.UnixMilli()
+	}
+	return s
+}
+
+// holding tells what is held back, why, and until when at the latest.
+func (z *zone) holding(at Moment, view View) (what string, until time.Time) {
+	switch {
+	case z.override.Kind == OverrideHold:
+		if z.override.UntilMS != 0 {
+			until = time.UnixMilli(z.override.UntilMS)
+		}
+		return "all new work, by an operator: " + z.override.Reason, until
+	case z.condition == Suspect:
+		if !view.sound() {
+			return "all new work; no verdict, since the state service or most controllers are not reached", until
+		}
+		return "all new work, until its machines are heard or it counts as dark", until
+	case z.condition == Dark && z.steadySince != 0:
+		return "all new work, for the hold-down", at.toWall(z.steadySince.Add(z.policy.holdDown(z.flaps)))
+	case z.condition == Dark:
+		return "all new work, until its machines are heard", at.toWall(z.since.Add(z.policy.Retry))
+	case z.condition == Returning && z.window != nil:
+		return fmt.Sprintf("all but critical work, by window %s", z.window.Name), z.windowUntil.Wall
+	case z.condition == Returning && z.ramp.step == 0:
+		return "all but critical work and probes", at.toWall(z.ramp.began.Add(z.policy.ReturnMax))
+	case z.condition == Returning:
+		return fmt.Sprintf("starts beyond step %d of %d", z.ramp.step, len(z.policy.Steps)), at.toWall(z.ramp.began.Add(z.policy.ReturnMax))
+	}
+	return "", until
+}
--- /dev/null
+++ b/zonereturn/zone.go
@@ -0,0 +1,245 @@
+package zonereturn
+
+import (
+	"fmt"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// zone is one zone's state machine.
+type zone struct {
+	name   ids.Zone
+	policy *Policy
+
+	condition Condition
+	since     ids.Instant
+	reason    string
+	// resume is the condition that a suspicion goes back to.
+	resume   Condition
+	evidence Evidence
+	// absent are machines that were silent when the return began: they are not its
+	// trouble.
+	absent int
+	// machinesBefore is how many machines it had when it got dark.
+	machinesBefore int
+	// steadySince is since when a suspect zone is heard again, or a dark one, 0 if it is
+	// not: the time that hysteresis and hold-down count from.
+	steadySince ids.Instant
+	flaps       int
+	ramp        ramp
+	displaced   displacements
+	starts      startTracker
+	override    Override
+	record      recordState
+	// window is the window that is open while it returns, if any.
+	window      *Window
+	windowUntil Moment
+	events      []Event
+}
+
+// newZone makes a zone that serves.
+func newZone(name ids.Zone, policy *Policy, now ids.Instant) *zone {
+	z := &zone{name: name, policy: policy, since: now, starts: newStartTracker()}
+	z.displaced.clear()
+	return z
+}
+
+// enter changes the condition.
+func (z *zone) enter(c Condition, now ids.Instant, reason string) {
+	z.events = append(z.events, Event{Zone: z.name, From: z.condition, To: c, Step: z.ramp.step, Reason: reason})
+	// A suspicion is not recorded: a successor forms its own.
+	if c != Suspect && (z.condition != Suspect || c != z.resume) {
+		z.record.dirty = true
+	}
+	z.condition, z.since, z.reason, z.steadySince, z.window = c, now, reason, 0, nil
+}
+
+// enterStep changes the ramp's step.
+func (z *zone) enterStep(step int, now ids.Instant, reason string) {
+	z.ramp.enter(step, now)
+	z.reason = reason
+	z.events = append(z.events, Event{Zone: z.name, From: z.condition, To: z.condition, Step: z.ramp.step, Reason: reason})
+	z.record.dirty = true
+}
+
+// silentShare is the part of the zone's machines that is lost, without those that were so
+// when the return began.
+func (z *zone) silentShare() float64 {
+	lost, known := z.evidence.lost()-z.absent, z.evidence.Known-z.absent
+	if known <= 0 {
+		return 0
+	}
+	return float64(max(0, lost)) / float64(known)
+}
+
+// observe takes in the evidence and moves on as time and evidence call for.
+func (z *zone) observe(at Moment, e Evidence, view View, anyHeard bool) {
+	z.evidence = e
+	z.absent = min(z.absent, e.lost())
+	z.expireOverride(at)
+	if view.ProcessResumed {
+		// What came meanwhile is still to be read, so no silence counts.
+		z.steadySince = 0
+		return
+	}
+	switch z.condition {
+	case Serving:
+		z.observeServing(at)
+	case Suspect:
+		z.observeSuspect(at, view.sound() && anyHeard)
+	case Dark:
+		z.observeDark(at)
+	case Returning:
+		z.observeReturning(at)
+	}
+}
+
+// becomesSuspect tells whether so many machines are silent that the zone is suspect.
+func (z *zone) becomesSuspect() bool {
+	return z.evidence.Known >= z.policy.MinMachines && z.silentShare() >= z.policy.SuspectShare
+}
+
+func (z *zone) observeServing(at Moment) {
+	if z.becomesSuspect() {
+		z.resume = Serving
+		z.enter(Suspect, at.Now, z.evidence.String())
+		return
+	}
+	if z.flaps > 0 && at.Now > z.since.Add(z.policy.Quiet) {
+		z.flaps = 0
+		z.displaced.clear()
+		z.record.dirty = true
+	}
+}
+
+func (z *zone) observeSuspect(at Moment, sound bool) {
+	share := z.silentShare()
+	if z.evidence.Known == 0 {
+		share = 1 // all that it had was given up
+	}
+	if share < z.policy.SuspectShare/2 {
+		if z.steadySince == 0 {
+			z.steadySince = at.Now
+		}
+		if at.Now >= z.steadySince.Add(z.policy.RecoverAfter) {
+			z.endSuspicion(at)
+		}
+		return
+	}
+	z.steadySince = 0
+	wait := z.policy.DarkAfter
+	if z.evidence.RentalsRefused {
+		wait /= 2 // the cloud has trouble there too
+	}
+	if sound && share >= z.policy.DarkShare && at.Now >= z.since.Add(wait) {
+		z.becomeDark(at)
+	}
+}
+
+// endSuspicion goes back to what the zone was before. A return that was in trouble loses a
+// step.
+func (z *zone) endSuspicion(at Moment) {
+	resume := z.resume
+	z.enter(resume, at.Now, "heard again: "+z.evidence.String())
+	if resume == Returning {
+		z.setBack(at.Now, "machines fell silent")
+	}
+}
+
+// becomeDark begins a spell of the present incident, or a new incident.
+func (z *zone) becomeDark(at Moment) {
+	z.flaps++
+	z.displaced.spell++
+	if z.resume == Serving {
+		z.machinesBefore = max(z.evidence.Known, 1)
+	}
+	z.absent = 0
+	z.enter(Dark, at.Now, z.evidence.String())
+}
+
+func (z *zone) observeDark(at Moment) {
+	heard := z.evidence.Heard >= 1 && float64(z.evidence.Heard) >= z.policy.HeardShare*float64(z.evidence.Known)
+	switch {
+	case heard && z.steadySince == 0:
+		z.steadySince = at.Now
+	case heard && at.Now >= z.steadySince.Add(z.policy.holdDown(z.flaps)):
+		z.beginReturn(at, "heard for the hold-down: "+z.evidence.String())
+	case !heard:
+		z.steadySince = 0
+		if at.Now >= z.since.Add(z.policy.Retry) {
+			z.beginReturn(at, "tried again: "+z.evidence.String())
+		}
+	}
+}
+
+// beginReturn begins the ramp with the probe.
+func (z *zone) beginReturn(at Moment, reason string) {
+	z.absent = z.evidence.lost()
+	z.ramp.began = at.Now
+	z.ramp.setbacks = 0
+	z.ramp.enter(0, at.Now)
+	z.enter(Returning, at.Now, reason)
+}
+
+func (z *zone) observeReturning(at Moment) {
+	if z.becomesSuspect() {
+		z.resume = Returning
+		z.enter(Suspect, at.Now, z.evidence.String())
+		return
+	}
+	z.updateWindow(at)
+	if z.window != nil {
+		// The operators chose to wait. The time for the return counts from its end.
+		z.ramp.began, z.ramp.stepSince = at.Now, at.Now
+		return
+	}
+	switch {
+	case at.Now >= z.ramp.began.Add(z.policy.ReturnMax):
+		z.enter(Serving, at.Now, "the return took its time")
+	case at.Now < z.ramp.stepSince.Add(z.policy.StepTime):
+	case z.ramp.failing(z.policy.FailureTolerance):
+		z.setBack(at.Now, fmt.Sprintf("%d of %d starts failed", z.ramp.failed, z.ramp.failed+z.ramp.succeeded))
+	case z.ramp.proven(z.policy.StepSuccesses, z.starts.returning):
+		z.advance(at.Now)
+	}
+}
+
+// setBack takes a step back.
+func (z *zone) setBack(now ids.Instant, reason string) {
+	z.ramp.setbacks++
+	z.enterStep(z.ramp.step-1, now, reason)
+}
+
+// advance goes on to the next step, or ends the return after the last.
+func (z *zone) advance(now ids.Instant) {
+	if z.ramp.step >= len(z.policy.Steps) {
+		z.enter(Serving, now, "its work succeeds")
+		return
+	}
+	z.enterStep(z.ramp.step+1, now, fmt.Sprintf("%d starts succeeded", z.ramp.succeeded))
+}
+
+// updateWindow notes the window that is open now.
+func (z *zone) updateWindow(at Moment) {
+	was := z.window
+	var until = at.Wall
+	z.window, until = z.policy.openWindow(z.name, at.Wall)
+	z.windowUntil = Moment{Now: at.Now.Add(until.Sub(at.Wall)), Wall: until}
+	if z.window != nil && z.window != was {
+		z.events = append(z.events, Event{Zone: z.name, From: z.condition, To: z.condition, Step: z.ramp.step,
+			Reason: fmt.Sprintf("window %s until %s", z.window.Name, until.Format("2006-01-02 15:04 MST"))})
+	}
+}
+
+// interesting tells whether there is anything about the zone that a successor must know.
+func (z *zone) interesting() bool {
+	return z.recordable() != Serving || z.flaps > 0 || z.override.Kind != OverrideNone
+}
+
+// recordable is the condition that is recorded: a suspect zone's is the one before.
+func (z *zone) recordable() Condition {
+	if z.condition == Suspect {
+		return z.resume
+	}
+	return z.condition
+}
