--- a/scheduler/sim_cloud_test.go
+++ b/scheduler/sim_cloud_test.go
@@ -28,6 +28,7 @@
 		}
 		s.hosts++
 		w := &simWorker{host: ids.Host(fmt.Sprintf("n-%06d", s.hosts)), typ: r.Type, zone: r.Zone, spot: r.Spot, dead: true}
+		w.cut = s.zones.cutUntil[w.zone]
 		s.workers[w.host] = w
 		out = append(out, w.host)
 		boot := time.Duration(5+s.rng.IntN(10)) * time.Second
--- a/scheduler/sim_leader_test.go
+++ b/scheduler/sim_leader_test.go
@@ -40,6 +40,10 @@
 				var rec ledger.Slice
 				s.must(wire.Decode(s.store[k].raw, &rec))
 				s.must(s.core.LoadSlice(id, n, &rec, s.store[k].revision))
+			case strings.HasPrefix(k, ledger.ZonePrefix):
+				if !admissions {
+					s.loadZone(k)
+				}
 			case !ok && !admissions && k != ledger.LeaderKey:
 				var rec ledger.Job
 				s.must(wire.Decode(s.store[k].raw, &rec))
@@ -83,6 +87,7 @@
 		}
 	}
 	reached := func(w *simWorker) bool { return s.now >= s.islandUntil || s.apart(w) == (s.old == core) }
+	core.ObserveView(s.viewOf(core))
 	e := core.Step(s.now)
 	s.digest.effects(e)
 	for _, ch := range e.Changes {
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -115,6 +115,7 @@
 	// oldFormat: some controller may not know split slices yet.
 	oldFormat bool
 	digest    *effectDigest // of all that was decided so far
+	zones     zoneChecks
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
@@ -188,6 +189,7 @@
 		for _, h := range s.sortedHosts() {
 			s.workerStep(s.workers[h])
 		}
+		s.checkZones()
 		for id, when := range s.toldCancelled {
 			if s.now > when.Add(simCancel) && s.now <= when.Add(simCancel+150*time.Millisecond) {
 				s.checkGone(id)
--- a/zonereturn/displacement.go
+++ b/zonereturn/displacement.go
@@ -16,7 +16,7 @@
 	losses    int
 	lastSpell int
 	// returns counts the times that a task of the job was placed in the zone again after
-	// a loss, at most once for each.
+	// a loss, at most once for each; those that patience forced are not counted.
 	returns       int
 	returnedSpell int
 }
@@ -45,15 +45,19 @@
 }
 
 // comeBack notes that a task of a job was placed in the zone. It tells whether that is a
-// bounce: the first task of the job that comes back since the zone displaced it.
-func (d *displacements) comeBack(job ids.JobID) bool {
+// bounce: the first task of the job that comes back since the zone displaced it. forced
+// tells that the budget was exhausted, and only the job's long wait let it come.
+func (d *displacements) comeBack(job ids.JobID, budget int, patient bool) (bounced, forced bool) {
 	entry := d.jobs[job]
 	if entry == nil || entry.lastSpell <= entry.returnedSpell {
-		return false
+		return false, false
+	}
+	forced = entry.returns >= budget && !patient
+	if !forced {
+		entry.returns++
 	}
-	entry.returns++
 	entry.returnedSpell = entry.lastSpell
-	return true
+	return true, forced
 }
 
 // exhausted tells whether a job came back as often as the budget allows and was displaced
--- a/zonereturn/gate.go
+++ b/zonereturn/gate.go
@@ -76,20 +76,20 @@
 }
 
 // started notes that a task was placed in the zone.
-func (z *zone) started(s *Start, now ids.Instant) (bounced bool) {
+func (z *zone) started(s *Start, now ids.Instant) (bounced, forced bool) {
 	ramped := z.condition == Returning
 	z.starts.add(s, now, ramped)
 	if ramped && !s.Critical {
 		z.ramp.started++
 	}
-	if bounced = z.displaced.comeBack(s.Task.Job); bounced {
+	if bounced, forced = z.displaced.comeBack(s.Task.Job, z.policy.MoveBudget, s.Patient); bounced {
 		z.record.lazy = true
 	}
-	return bounced
+	return bounced, forced
 }
 
 // startEnded notes that a task runs, or is gone before it did.
-func (z *zone) startEnded(task ids.TaskRef, ran bool, now ids.Instant, usual *latencies) {
+func (z *zone) startEnded(task ids.TaskRef, ran bool, now ids.Instant) {
 	p, ok := z.starts.remove(task)
 	if !ok || !ran {
 		if ok && p.ramped && !p.critical {
@@ -99,7 +99,7 @@
 	}
 	took := now.Sub(p.since)
 	if z.condition != Returning {
-		usual.record(took)
+		z.usual.record(took)
 		return
 	}
 	if p.ramped && !p.critical {
--- a/zonereturn/manager.go
+++ b/zonereturn/manager.go
@@ -23,6 +23,9 @@
 	// Displaced counts tasks that were lost with a dark zone, and Bounces the jobs that
 	// came back to a zone which displaced them.
 	Displaced, Bounces int
+	// Forced counts the bounces beyond the budget, of jobs that had waited for so long that
+	// it no longer counted.
+	Forced int
 	// WorstBounces is how often the job that came back most often did so in one incident.
 	WorstBounces int
 	// Denied counts the admissions that were turned away, by reason.
@@ -41,8 +44,7 @@
 func (m *Manager) zone(name ids.Zone, now ids.Instant) *zone {
 	z := m.zones[name]
 	if z == nil {
-		z = newZone(name, m.policy, now)
-		z.record.jobLimit = maxRecordedJobs
+		z = newZone(name, m.policy, m.usualStarts, now)
 		m.zones[name] = z
 	}
 	return z
@@ -72,9 +74,6 @@
 		z := m.zones[name]
 		condition, step, window := z.condition, z.ramp.step, z.window
 		z.observe(at, o.Zones[name], o.View, anyHeard)
-		if z.condition == Returning && z.ramp.step > 0 && z.ramp.startTimes.slowerThan(m.usualStarts, m.policy.SlowStartFactor) {
-			z.setBack(at.Now, "starts are slow")
-		}
 		opened = opened || z.condition != condition || z.ramp.step != step || z.window != window
 	}
 	return opened
@@ -99,7 +98,11 @@
 // Started notes that a task was placed in a zone.
 func (m *Manager) Started(name ids.Zone, s *Start, now ids.Instant) {
 	z := m.zone(name, now)
-	if z.started(s, now) {
+	bounced, forced := z.started(s, now)
+	switch {
+	case forced:
+		m.stats.Forced++
+	case bounced:
 		m.stats.Bounces++
 		m.stats.WorstBounces = max(m.stats.WorstBounces, z.displaced.worst())
 	}
@@ -130,7 +133,7 @@
 	if z == nil {
 		return false
 	}
-	z.startEnded(task, ran, now, m.usualStarts)
+	z.startEnded(task, ran, now)
 	return z.condition == Returning
 }
 
--- /dev/null
+++ b/zonereturn/manager_test.go
@@ -0,0 +1,307 @@
+package zonereturn
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// bench drives a manager by hand: one zone of ten machines beside one that always serves.
+type bench struct {
+	t    *testing.T
+	m    *Manager
+	at   Moment
+	revs ids.Revision
+	// written are the records by zone, as the state service holds them.
+	written map[ids.Zone]Record
+	tasks   int
+}
+
+func testPolicy() *Policy {
+	return &Policy{SuspectShare: 0.5, DarkShare: 0.8, DarkAfter: 6 * time.Second, RecoverAfter: 2 * time.Second, MinMachines: 4, HeardShare: 0.25,
+		Retry: 3 * time.Minute, HoldDown: 4 * time.Second, HoldDownFactor: 3, HoldDownMax: 30 * time.Second, Quiet: 10 * time.Minute,
+		ProbeTasks: 2, ProbeMaxRun: time.Minute, Steps: []float64{0.2, 0.5}, StepTime: 4 * time.Second, StepSuccesses: 3,
+		FailureTolerance: 0.25, SlowStartFactor: 4, StartsPerMachine: 1, FetchesPerMachine: 0.3, ReturnMax: 45 * time.Second, MoveBudget: 1, Patience: time.Minute}
+}
+
+func newBench(t *testing.T) *bench {
+	return &bench{t: t, m: NewManager(testPolicy()), written: map[ids.Zone]Record{},
+		at: Moment{Now: ids.Instant(time.Hour), Wall: time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)}}
+}
+
+// pass lets time pass with so many of ten machines heard, and writes what is due.
+func (b *bench) pass(d time.Duration, heard int) {
+	for end := b.at.Now.Add(d); b.at.Now < end; {
+		b.at = Moment{b.at.Now.Add(200 * time.Millisecond), b.at.Wall.Add(200 * time.Millisecond)}
+		b.m.Observe(b.at, Observation{
+			Zones: map[ids.Zone]Evidence{"z": {Known: 10, Heard: heard, Silent: 10 - heard}, "other": {Known: 10, Heard: 10}},
+			View:  View{StateSure: true, PeersHeard: 2, Peers: 2},
+		})
+		b.write()
+	}
+}
+
+// write carries out what the manager wants written.
+func (b *bench) write() {
+	for {
+		w, ok := b.m.NextWrite(b.at, uint64(b.revs+1), func(*Record) bool { return true })
+		if !ok {
+			return
+		}
+		b.revs++
+		if w.Record == nil {
+			delete(b.written, w.Zone)
+			b.m.Written(w.Zone, 0)
+			continue
+		}
+		b.written[w.Zone] = *w.Record
+		b.m.Written(w.Zone, b.revs)
+	}
+}
+
+// start places a task of a job if the gate admits it.
+func (b *bench) start(s Start) (ids.TaskRef, Denial) {
+	b.tasks++
+	s.Task = ids.TaskRef{Job: s.Task.Job, Index: b.tasks}
+	s.Patient = true
+	if s.Host == "" {
+		s.Host = ids.Host(fmt.Sprintf("n-%d", b.tasks))
+	}
+	denial := b.m.Admit("z", &s)
+	if denial == Admitted {
+		b.m.Started("z", &s, b.at.Now)
+	}
+	return s.Task, denial
+}
+
+// returning brings the zone to the beginning of its return.
+func (b *bench) returning() {
+	b.t.Helper()
+	b.pass(time.Second, 10)
+	b.pass(15*time.Second, 0)
+	if c := b.m.Condition("z"); c != Dark {
+		b.t.Fatalf("%s after silence", c)
+	}
+	b.pass(5*time.Second, 10)
+	if c := b.m.Condition("z"); c != Returning {
+		b.t.Fatalf("%s after the hold-down", c)
+	}
+}
+
+// Each condition follows from counts of machines, with hysteresis.
+func TestConditionFollowsMachines(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		heard  []int // of ten, each for 8 s
+		result Condition
+	}{
+		{"all are heard", []int{10, 10}, Serving},
+		{"a few are silent", []int{10, 6, 6}, Serving},
+		{"half are silent: suspect, never dark", []int{10, 5, 5, 5, 5}, Suspect},
+		{"it hovers: still suspect", []int{10, 5, 6, 5, 6}, Suspect},
+		{"most are heard again", []int{10, 5, 9}, Serving},
+		{"all are silent", []int{10, 0}, Dark},
+		{"one machine back is too few", []int{10, 0, 1}, Dark},
+		{"a quarter is enough", []int{10, 0, 3}, Returning},
+		{"silent again in the return", []int{10, 0, 10, 0}, Dark},
+	} {
+		b := newBench(t)
+		for _, heard := range c.heard {
+			b.pass(8*time.Second, heard)
+		}
+		if got := b.m.Condition("z"); got != c.result {
+			t.Errorf("%s: %s, want %s", c.name, got, c.result)
+		}
+	}
+}
+
+// The probe takes a few small tasks; each step's success opens the next.
+func TestRampGrowsWithSuccess(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	small := Start{Task: ids.TaskRef{Job: "job-1"}, Small: true}
+	if _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-2"}}); denial != DeniedProbe {
+		t.Errorf("a large task as a probe: %s", denial)
+	}
+	first, _ := b.start(small)
+	second, _ := b.start(small)
+	if _, denial := b.start(small); denial != DeniedStarts {
+		t.Errorf("a third probe: %s", denial)
+	}
+	if _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-3"}, Critical: true}); denial != Admitted {
+		t.Errorf("critical work: %s", denial)
+	}
+	b.pass(6*time.Second, 10)
+	if st := b.m.Status(b.at)[1]; st.Step != 0 {
+		t.Errorf("step %d before anything succeeded", st.Step)
+	}
+	b.m.Running("z", first, b.at.Now)
+	b.m.Running("z", second, b.at.Now)
+	b.pass(time.Second, 10)
+	if st := b.m.Status(b.at)[1]; st.Step != 1 || b.written["z"].Step != 1 {
+		t.Errorf("step %d, %d recorded, after the probes succeeded", st.Step, b.written["z"].Step)
+	}
+}
+
+// Starts that fail, of more than one job, take a step back; those of one job do not.
+func TestRampShrinksOnTrouble(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		failed []ids.JobID
+		want   int
+	}{
+		{"one job fails", []ids.JobID{"job-1", "job-1", "job-1"}, 1},
+		{"two jobs fail", []ids.JobID{"job-1", "job-2", "job-2"}, 0},
+	} {
+		b := newBench(t)
+		b.returning()
+		b.pass(5*time.Second, 10) // nothing to prove: on to the first share
+		if st := b.m.Status(b.at)[1]; st.Step != 1 {
+			t.Fatalf("step %d without any work", st.Step)
+		}
+		held, _ := b.start(Start{Task: ids.TaskRef{Job: "job-9"}, Small: true})
+		for _, job := range c.failed {
+			b.m.Failed("z", job)
+		}
+		b.pass(5*time.Second, 10)
+		if st := b.m.Status(b.at)[1]; st.Step != c.want {
+			t.Errorf("%s: step %d, want %d", c.name, st.Step, c.want)
+		}
+		b.m.Ended("z", held, b.at.Now)
+	}
+}
+
+// Starts that take far longer than elsewhere take a step back.
+func TestRampShrinksOnSlowStarts(t *testing.T) {
+	b := newBench(t)
+	other := func(n int) Start { return Start{Task: ids.TaskRef{Job: "job-0", Index: n}, Host: "h"} }
+	for n := range 10 {
+		s := other(n)
+		b.m.Started("other", &s, b.at.Now)
+	}
+	b.pass(time.Second, 10)
+	for n := range 10 {
+		b.m.Running("other", other(n).Task, b.at.Now)
+	}
+	b.returning()
+	b.pass(5*time.Second, 10)
+	z := b.m.zones["z"]
+	var tasks []ids.TaskRef
+	z.policy.ProbeTasks, z.policy.ReturnMax = 6, time.Hour
+	for range 6 {
+		task, denial := b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true})
+		if denial != Admitted {
+			t.Fatal(denial)
+		}
+		tasks = append(tasks, task)
+	}
+	b.pass(30*time.Second, 10)
+	for _, task := range tasks {
+		b.m.Running("z", task, b.at.Now)
+	}
+	b.pass(200*time.Millisecond, 10)
+	if st := b.m.Status(b.at)[1]; st.Step != 0 || z.ramp.setbacks != 1 {
+		t.Errorf("step %d with %d setbacks after starts of 30 s", st.Step, z.ramp.setbacks)
+	}
+}
+
+// Fetches have their own limit, shared ones count once, and none slows another down.
+func TestFetchLimit(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	b.pass(5*time.Second, 10) // the first share: 0.2 of 10 machines, 0.3 fetches each
+	fetch := func(host ids.Host, image ids.Image, sharing bool) Denial {
+		_, denial := b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true, Fetch: true, Host: host, Image: image, Sharing: sharing})
+		return denial
+	}
+	for _, c := range []struct {
+		host    ids.Host
+		image   ids.Image
+		sharing bool
+		want    Denial
+	}{
+		{"n-a", "i", true, DeniedFetches},
+		{"n-a", "i", false, Admitted},
+		{"n-a", "i", false, Admitted},
+		{"n-b", "i", false, DeniedStarts},
+	} {
+		if got := fetch(c.host, c.image, c.sharing); got != c.want {
+			t.Errorf("%s on %s: %s, want %s", c.image, c.host, got, c.want)
+		}
+	}
+	b.m.zones["z"].policy.StartsPerMachine = 10
+	if got := fetch("n-b", "i", false); got != DeniedFetches {
+		t.Errorf("a second fetch: %s", got)
+	}
+}
+
+// However badly it goes, a return ends in time, and nothing waits beside the room.
+func TestReturnEndsInTime(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	for passed := time.Duration(0); b.m.Condition("z") == Returning; passed += time.Second {
+		b.m.Failed("z", ids.JobID(fmt.Sprintf("job-%d", passed)))
+		b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true})
+		b.pass(time.Second, 10)
+		if passed > testPolicy().ReturnMax+time.Second {
+			t.Fatalf("still returning after %v", passed)
+		}
+	}
+}
+
+// In a window only critical work returns; afterwards the return goes on.
+func TestWindowHoldsReturningWork(t *testing.T) {
+	b := newBench(t)
+	b.m.policy.Windows = []*Window{mustWindow(t, WindowSettings{Name: "w", TimeZone: "UTC", From: "12:00", To: "12:10"})}
+	b.returning()
+	if _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true}); denial != DeniedWindow {
+		t.Errorf("in the window: %s", denial)
+	}
+	if _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-2"}, Critical: true}); denial != Admitted {
+		t.Errorf("critical work in the window: %s", denial)
+	}
+	st := b.m.Status(b.at)[1]
+	if want := time.Date(2026, 5, 4, 12, 10, 0, 0, time.UTC).UnixMilli(); st.UntilMS != want {
+		t.Errorf("held until %v", time.UnixMilli(st.UntilMS).UTC())
+	}
+	b.pass(9*time.Minute+50*time.Second, 10)
+	if _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true}); denial != Admitted {
+		t.Errorf("after the window: %s", denial)
+	}
+}
+
+// The record stays inside its bound, and keeps the jobs that came back most often.
+func TestRecordIsBounded(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	z := b.m.zones["z"]
+	for n := range 1000 {
+		z.displaced.lose(ids.JobID(fmt.Sprintf("job-%06d", n)))
+	}
+	z.displaced.comeBack("job-000999", 1, true)
+	z.record.dirty = true
+	w, ok := b.m.NextWrite(b.at, 7, func(r *Record) bool { return len(r.Jobs) <= 60 })
+	if !ok || len(w.Record.Jobs) > 60 || len(w.Record.Jobs) < 20 || w.Record.Jobs[0] != "job-000999" || w.Record.Omitted != 1000-len(w.Record.Jobs) {
+		t.Fatalf("%v %+v", ok, w.Record)
+	}
+	b.m.Refused("z")
+	if again, ok := b.m.NextWrite(b.at, 8, func(*Record) bool { return true }); !ok || len(again.Record.Jobs) >= len(w.Record.Jobs) {
+		t.Errorf("after a refusal: %v %d jobs", ok, len(again.Record.Jobs))
+	}
+}
+
+// A quiet zone leaves no record behind.
+func TestQuietZoneDropsItsRecord(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	b.pass(time.Minute, 10)
+	if _, ok := b.written["z"]; !ok {
+		t.Fatal("no record although its flaps count")
+	}
+	b.pass(testPolicy().Quiet+time.Second, 10)
+	if len(b.written) != 0 {
+		t.Errorf("left behind: %+v", b.written)
+	}
+}
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -10,6 +10,8 @@
 type zone struct {
 	name   ids.Zone
 	policy *Policy
+	// usual are the start times in zones that do not return.
+	usual *latencies
 
 	condition Condition
 	since     ids.Instant
@@ -25,12 +27,15 @@
 	// steadySince is since when a suspect zone is heard again, or a dark one, 0 if it is
 	// not: the time that hysteresis and hold-down count from.
 	steadySince ids.Instant
-	flaps       int
-	ramp        ramp
-	displaced   displacements
-	starts      startTracker
-	override    Override
-	record      recordState
+	// soundSince is since when the leader's view is sound, 0 if it is not: one that was cut
+	// off needs time to hear the machines again.
+	soundSince ids.Instant
+	flaps      int
+	ramp       ramp
+	displaced  displacements
+	starts     startTracker
+	override   Override
+	record     recordState
 	// window is the window that is open while it returns, if any.
 	window      *Window
 	windowUntil Moment
@@ -38,8 +43,9 @@
 }
 
 // newZone makes a zone that serves.
-func newZone(name ids.Zone, policy *Policy, now ids.Instant) *zone {
-	z := &zone{name: name, policy: policy, since: now, starts: newStartTracker()}
+func newZone(name ids.Zone, policy *Policy, usual *latencies, now ids.Instant) *zone {
+	z := &zone{name: name, policy: policy, usual: usual, since: now, starts: newStartTracker()}
+	z.record.jobLimit = maxRecordedJobs
 	z.displaced.clear()
 	return z
 }
@@ -77,6 +83,7 @@
 	z.evidence = e
 	z.absent = min(z.absent, e.lost())
 	z.expireOverride(at)
+	z.noteView(at.Now, view.sound() && anyHeard)
 	if view.ProcessResumed {
 		// What came meanwhile is still to be read, so no silence counts.
 		z.steadySince = 0
@@ -86,7 +93,7 @@
 	case Serving:
 		z.observeServing(at)
 	case Suspect:
-		z.observeSuspect(at, view.sound() && anyHeard)
+		z.observeSuspect(at)
 	case Dark:
 		z.observeDark(at)
 	case Returning:
@@ -112,7 +119,17 @@
 	}
 }
 
-func (z *zone) observeSuspect(at Moment, sound bool) {
+// noteView notes whether the leader's view is sound.
+func (z *zone) noteView(now ids.Instant, sound bool) {
+	switch {
+	case !sound:
+		z.soundSince = 0
+	case z.soundSince == 0:
+		z.soundSince = now
+	}
+}
+
+func (z *zone) observeSuspect(at Moment) {
 	share := z.silentShare()
 	if z.evidence.Known == 0 {
 		share = 1 // all that it had was given up
@@ -131,7 +148,7 @@
 	if z.evidence.RentalsRefused {
 		wait /= 2 // the cloud has trouble there too
 	}
-	if sound && share >= z.policy.DarkShare && at.Now >= z.since.Add(wait) {
+	if z.soundSince != 0 && share >= z.policy.DarkShare && at.Now >= max(z.since, z.soundSince).Add(wait) {
 		z.becomeDark(at)
 	}
 }
@@ -196,6 +213,8 @@
 	switch {
 	case at.Now >= z.ramp.began.Add(z.policy.ReturnMax):
 		z.enter(Serving, at.Now, "the return took its time")
+	case z.ramp.startTimes.slowerThan(z.usual, z.policy.SlowStartFactor):
+		z.setBack(at.Now, "starts are slow")
 	case at.Now < z.ramp.stepSince.Add(z.policy.StepTime):
 	case z.ramp.failing(z.policy.FailureTolerance):
 		z.setBack(at.Now, fmt.Sprintf("%d of %d starts failed", z.ramp.failed, z.ramp.failed+z.ramp.succeeded))
