A zone's machines have time to report once the first of them is heard again

Cause: machines of a cut zone are kept while the zone is silent. At the first report of any of them the zone was no longer silent, and all others, silent for more than two leases in a cut of 60 s, were returned at once: 19 of 20 in the simulation of a cut zone. Change: they have three reports' time from the end of the partition. Found while measuring the return of a zone, with the subsystem off and on; it concerns both.

Zone return: the last step has the full share, still of starts and fetches under way, until nothing is turned away; images that a zone's machines held before it was lost count as missing.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -99,7 +99,7 @@
 			}
 		}
 		hm.core.commands.queueCommands(m)
-	case m.reported && len(m.tasks) == 0 && !mostSilent && !hm.zonePartitioned(m.Zone) && hm.silentFor(m, silentLeases*hm.core.opt.Lease):
+	case m.reported && len(m.tasks) == 0 && !mostSilent && !hm.zonePartitionedLately(m.Zone) && hm.silentFor(m, silentLeases*hm.core.opt.Lease):
 		registry.returnMachine(m, returnSilent)
 	case hm.cancelOverdue(m):
 		registry.returnMachine(m, returnCancelled)
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -213,3 +213,39 @@
 		t.Errorf("zone b was never tried again: %v", rented)
 	}
 }
+
+// The machines of a zone that was cut off for longer than two leases are not returned for
+// their silence at the moment at which the first of them is heard again.
+func TestMachinesOfAReturningZoneHaveTimeToReport(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.c.Begin(b.now)
+	hosts := map[ids.Zone][]ids.Host{"a": {"a-1", "a-2", "a-3", "a-4"}, "b": {"b-1", "b-2", "b-3", "b-4", "b-5"}}
+	tell := func(zone ids.Zone) {
+		for _, host := range hosts[zone] {
+			b.report(host, zone, 0)
+		}
+	}
+	tell("b")
+	for start := b.now; b.now < start.Add(silentLeases*simLease+10*time.Second); b.now = b.now.Add(500 * time.Millisecond) {
+		tell("a")
+		if e := b.step(); len(e.Return) > 0 {
+			t.Fatalf("returned %v in the partition", e.Return)
+		}
+	}
+	b.report("b-1", "b", 0)
+	for start := b.now; b.now < start.Add(simReport); b.now = b.now.Add(200 * time.Millisecond) {
+		tell("a")
+		if e := b.step(); len(e.Return) > 0 {
+			t.Fatalf("returned %v before they could report", e.Return)
+		}
+	}
+	returned := 0
+	for start := b.now; b.now < start.Add(4*simReport); b.now = b.now.Add(200 * time.Millisecond) {
+		tell("a")
+		b.report("b-1", "b", 0)
+		returned += len(b.step().Return)
+	}
+	if returned != 4 {
+		t.Errorf("%d machines returned that stayed silent, want 4", returned)
+	}
+}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -116,6 +116,7 @@
 	oldFormat bool
 	digest    *effectDigest // of all that was decided so far
 	zones     zoneChecks
+	caches    *simCaches // nil: images take a random time
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
--- a/scheduler/sim_worker_test.go
+++ b/scheduler/sim_worker_test.go
@@ -85,7 +85,7 @@
 				t.state, t.cause = wire.TaskEnded, wire.CauseFull
 			}
 			if t.state == wire.TaskFetching {
-				s.after(time.Duration(100+s.rng.IntN(2000))*time.Millisecond, func() { s.start(w, t) })
+				s.after(s.fetchTime(w, ref.Job), func() { s.start(w, t) })
 			}
 		case wire.VerbKill:
 			if i >= 0 && w.tasks[i].state != wire.TaskEnded {
@@ -100,6 +100,15 @@
 	}
 }
 
+// fetchTime is how long a task waits for its image: at random, unless a day models the
+// zones' image caches.
+func (s *sim) fetchTime(w *simWorker, job ids.JobID) time.Duration {
+	if s.caches != nil {
+		return s.caches.fetch(s, w, s.specs[job].Image)
+	}
+	return time.Duration(100+s.rng.IntN(2000)) * time.Millisecond
+}
+
 func (s *sim) here(w *simWorker, t *simTask) bool {
 	return s.workers[w.host] == w && slices.Contains(w.tasks, t)
 }
--- a/scheduler/zone_return.go
+++ b/scheduler/zone_return.go
@@ -163,7 +163,9 @@
 
 // startOf describes a task that looks for a place on a machine.
 func (g *zoneGate) startOf(j *job, index int, m *machine) *zonereturn.Start {
-	fetch := m.images[j.spec.Image] == nil
+	cached := m.images[j.spec.Image]
+	// What the machine held before the zone was lost may be gone.
+	fetch := cached == nil || cached.usedAt < g.manager.ColdSince(m.Zone)
 	return &zonereturn.Start{
 		Task:     ids.TaskRef{Job: j.id, Index: index},
 		Critical: g.critical(j),
--- a/scheduler/zones.go
+++ b/scheduler/zones.go
@@ -10,6 +10,8 @@
 type zoneState struct {
 	lastHeard  ids.Instant // when any machine there was last heard
 	machinesUp int         // machines that reported while it was heard
+	// partitionedAt is when it was last found to be partitioned; 0: never.
+	partitionedAt ids.Instant
 }
 
 const (
@@ -37,9 +39,24 @@
 		if !hm.zoneSilent(z) {
 			z.machinesUp = up[zone]
 		}
+		if hm.zonePartitioned(zone) {
+			z.partitionedAt = hm.core.now
+		}
 	}
 }
 
+// partitionEndReports is how many reports' time the machines of a zone have to report once
+// the first of them is heard again. A partition that lasted for longer than silentLeases
+// would otherwise cost all machines but that one.
+const partitionEndReports = 3
+
+// zonePartitionedLately tells whether a zone is partitioned, or was until a moment ago, so
+// that its machines have not all had their turn to report.
+func (hm *healthMonitor) zonePartitionedLately(zone ids.Zone) bool {
+	z := hm.zoneStates[zone]
+	return z != nil && z.partitionedAt != 0 && hm.core.now < z.partitionedAt.Add(partitionEndReports*hm.core.opt.Report)
+}
+
 // zoneSilent tells whether a zone has not been heard for longer than its machines would
 // leave between their reports by chance. With hundreds of machines that is seconds.
 func (hm *healthMonitor) zoneSilent(z *zoneState) bool {
--- a/zonereturn/manager.go
+++ b/zonereturn/manager.go
@@ -196,6 +196,15 @@
 	return 0, false
 }
 
+// ColdSince is when a zone that returns was lost: what its machines held before that may be
+// gone. It is 0 for other zones.
+func (m *Manager) ColdSince(name ids.Zone) ids.Instant {
+	if z := m.zones[name]; z != nil && z.condition == Returning {
+		return z.darkAt
+	}
+	return 0
+}
+
 // Patience is how long a job waits until its budget of moves no longer counts.
 func (m *Manager) Patience() time.Duration { return m.policy.Patience }
 
--- a/zonereturn/policy.go
+++ b/zonereturn/policy.go
@@ -62,12 +62,15 @@
 	switch {
 	case step <= 0:
 		return 0
-	case step > len(p.Steps):
+	case step >= p.lastStep():
 		return 1
 	}
 	return p.Steps[step-1]
 }
 
+// lastStep is the step with the full share, after those of the settings.
+func (p *Policy) lastStep() int { return len(p.Steps) + 1 }
+
 // startLimit is how many starts may be under way in a step on so many machines.
 func (p *Policy) startLimit(step, machines int) int {
 	return max(p.ProbeTasks, int(math.Ceil(p.shareOf(step)*p.StartsPerMachine*float64(machines))))
--- a/zonereturn/record.go
+++ b/zonereturn/record.go
@@ -107,6 +107,7 @@
 	z.since = at.toInstant(rec.SinceMS)
 	z.reason = "recorded by an earlier leader"
 	z.flaps, z.machinesBefore = rec.Flaps, rec.Machines
+	z.darkAt = at.Now // nothing there has been used since, as far as this leader knows
 	z.override = Override{Kind: OverrideKind(rec.Override), Reason: rec.OverrideReason, UntilMS: rec.OverrideUntilMS}
 	z.displaced.spell = rec.Spell
 	for i, job := range rec.Jobs {
@@ -117,7 +118,7 @@
 	}
 	if z.condition == Returning {
 		// The step begins anew: what its starts came to was not recorded.
-		z.ramp.enter(min(rec.Step, len(z.policy.Steps)), at.Now)
+		z.ramp.enter(min(rec.Step, z.policy.lastStep()), at.Now)
 		z.ramp.began = at.toInstant(rec.BeganMS)
 	}
 	z.record.revision = revision
--- a/zonereturn/settings.go
+++ b/zonereturn/settings.go
@@ -87,8 +87,8 @@
 		return settingError("hold_down_max_s", "%g is below hold_down_s, %g", s.HoldDownMaxS, s.HoldDownS)
 	case s.HoldDownMaxS+s.ReturnMaxS > s.HoldLimitS:
 		return settingError("return_max_s", "with hold_down_max_s it comes to %g s, more than hold_limit_s, %g: work would wait beside room for too long", s.HoldDownMaxS+s.ReturnMaxS, s.HoldLimitS)
-	case float64(len(s.Steps)+1)*s.StepS > s.ReturnMaxS:
-		return settingError("steps", "a probe and %d steps of %g s do not fit into return_max_s, %g", len(s.Steps), s.StepS, s.ReturnMaxS)
+	case float64(len(s.Steps)+2)*s.StepS > s.ReturnMaxS:
+		return settingError("steps", "a probe, %d steps and the full share, each of %g s, do not fit into return_max_s, %g", len(s.Steps), s.StepS, s.ReturnMaxS)
 	case s.PatienceS > s.HoldLimitS:
 		return settingError("patience_s", "%g is above hold_limit_s, %g", s.PatienceS, s.HoldLimitS)
 	case s.QuietS < s.HoldLimitS:
--- a/zonereturn/status.go
+++ b/zonereturn/status.go
@@ -46,7 +46,7 @@
 func (z *zone) status(at Moment, view View) Status {
 	s := Status{
 		Zone: z.name, Condition: z.condition, SinceMS: at.toWall(z.since).UnixMilli(), Reason: z.reason,
-		Known: z.evidence.Known, Heard: z.evidence.Heard, Flaps: z.flaps, Steps: len(z.policy.Steps),
+		Known: z.evidence.Known, Heard: z.evidence.Heard, Flaps: z.flaps, Steps: z.policy.lastStep(),
 		Starts: z.starts.returning, Fetches: len(z.starts.fetches), DisplacedIDs: len(z.displaced.jobs),
 		Override: z.override.Kind, Recorded: !z.record.dirty && !z.record.inFlight,
 	}
@@ -84,7 +84,7 @@
 	case z.condition == Returning && z.ramp.step == 0:
 		return "all but critical work and probes", at.toWall(z.ramp.began.Add(z.policy.ReturnMax))
 	case z.condition == Returning:
-		return fmt.Sprintf("starts beyond step %d of %d", z.ramp.step, len(z.policy.Steps)), at.toWall(z.ramp.began.Add(z.policy.ReturnMax))
+		return fmt.Sprintf("starts beyond step %d of %d", z.ramp.step, z.policy.lastStep()), at.toWall(z.ramp.began.Add(z.policy.ReturnMax))
 	}
 	return "", until
 }
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -31,11 +31,13 @@
 	// off needs time to hear the machines again.
 	soundSince ids.Instant
 	flaps      int
-	ramp       ramp
-	displaced  displacements
-	starts     startTracker
-	override   Override
-	record     recordState
+	// darkAt is when it last got dark.
+	darkAt    ids.Instant
+	ramp      ramp
+	displaced displacements
+	starts    startTracker
+	override  Override
+	record    recordState
 	// window is the window that is open while it returns, if any.
 	window      *Window
 	windowUntil Moment
@@ -167,6 +169,7 @@
 func (z *zone) becomeDark(at Moment) {
 	z.flaps++
 	z.displaced.spell++
+	z.darkAt = at.Now
 	if z.resume == Serving {
 		z.machinesBefore = max(z.evidence.Known, 1)
 	}
@@ -229,10 +232,17 @@
 	z.enterStep(z.ramp.step-1, now, reason)
 }
 
-// advance goes on to the next step, or ends the return after the last.
+// advance goes on to the next step, or ends the return after the last. In the last the zone
+// has its full share, still of starts and fetches under way: it ends once nothing had to be
+// turned away, or all that waited would come in one rush after all.
 func (z *zone) advance(now ids.Instant) {
-	if z.ramp.step >= len(z.policy.Steps) {
-		z.enter(Serving, now, "its work succeeds")
+	last := z.ramp.step >= z.policy.lastStep()
+	switch {
+	case last && !z.ramp.denied:
+		z.enter(Serving, now, "its work succeeds, and none waits for it")
+		return
+	case last:
+		z.ramp.enter(z.ramp.step, now)
 		return
 	}
 	z.enterStep(z.ramp.step+1, now, fmt.Sprintf("%d starts succeeded", z.ramp.succeeded))
