Zone return: trouble in all zones at once makes none suspect

Change: a zone becomes suspect, or dark, only while some zone is mostly heard. A deployment of one zone is thus never evacuated, which had nowhere to go.

--- a/zonereturn/evidence.go
+++ b/zonereturn/evidence.go
@@ -62,10 +62,12 @@
 	View  View
 }
 
-// anyHeard tells whether any machine at all is heard.
-func (o *Observation) anyHeard() bool {
+// someZoneHeard tells whether some zone is mostly heard. Where all of them are in trouble at
+// once it is the controllers or their network: after one fails, half of all machines may
+// need seconds to find another.
+func (o *Observation) someZoneHeard(p *Policy) bool {
 	for _, e := range o.Zones {
-		if e.Heard > 0 {
+		if e.Heard >= p.MinMachines && float64(e.lost()) < p.SuspectShare/2*float64(e.Known) {
 			return true
 		}
 	}
--- a/zonereturn/manager.go
+++ b/zonereturn/manager.go
@@ -66,14 +66,14 @@
 // Observe takes in what is known of all zones. It tells whether more may start than before.
 func (m *Manager) Observe(at Moment, o Observation) (opened bool) {
 	m.view = o.View
-	anyHeard := o.anyHeard()
+	someZoneHeard := o.someZoneHeard(m.policy)
 	for _, name := range slices.Sorted(maps.Keys(o.Zones)) {
 		m.zone(name, at.Now)
 	}
 	for _, name := range m.sortedZones() {
 		z := m.zones[name]
 		condition, step, window := z.condition, z.ramp.step, z.window
-		z.observe(at, o.Zones[name], o.View, anyHeard)
+		z.observe(at, o.Zones[name], o.View, someZoneHeard)
 		opened = opened || z.condition != condition || z.ramp.step != step || z.window != window
 	}
 	return opened
--- a/zonereturn/manager_test.go
+++ b/zonereturn/manager_test.go
@@ -343,3 +343,22 @@
 		t.Errorf("the return's beginning moved by %v", gone)
 	}
 }
+
+// Where all zones are half silent at once, as after a controller failed, none is suspect.
+func TestTroubleEverywhereIsNoZonesTrouble(t *testing.T) {
+	b := newBench(t)
+	b.pass(time.Second, 10)
+	for _, c := range []struct {
+		others int // heard of ten elsewhere
+		want   Condition
+	}{{5, Serving}, {10, Suspect}} {
+		for range 20 {
+			b.at = Moment{b.at.Now.Add(200 * time.Millisecond), b.at.Wall.Add(200 * time.Millisecond)}
+			b.m.Observe(b.at, Observation{View: View{StateSure: true}, Zones: map[ids.Zone]Evidence{
+				"z": {Known: 10, Heard: 5, Silent: 5}, "other": {Known: 10, Heard: c.others, Silent: 10 - c.others}}})
+		}
+		if got := b.m.Condition("z"); got != c.want {
+			t.Errorf("%s while %d of ten are heard elsewhere, want %s", got, c.others, c.want)
+		}
+	}
+}
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -30,7 +30,9 @@
 	// soundSince is since when the leader's view is sound, 0 if it is not: one that was cut
 	// off needs time to hear the machines again.
 	soundSince ids.Instant
-	flaps      int
+	// someZoneHeard tells whether some zone is mostly heard.
+	someZoneHeard bool
+	flaps         int
 	// darkAt is when it last got dark.
 	darkAt    ids.Instant
 	ramp      ramp
@@ -81,11 +83,12 @@
 }
 
 // observe takes in the evidence and moves on as time and evidence call for.
-func (z *zone) observe(at Moment, e Evidence, view View, anyHeard bool) {
+func (z *zone) observe(at Moment, e Evidence, view View, someZoneHeard bool) {
 	z.evidence = e
 	z.absent = min(z.absent, e.lost())
 	z.expireOverride(at)
-	z.noteView(at.Now, view.sound() && anyHeard)
+	z.someZoneHeard = someZoneHeard
+	z.noteView(at.Now, view.sound() && someZoneHeard)
 	if view.ProcessResumed {
 		// What came meanwhile is still to be read, so no silence counts.
 		z.steadySince = 0
@@ -105,7 +108,7 @@
 
 // becomesSuspect tells whether so many machines are silent that the zone is suspect.
 func (z *zone) becomesSuspect() bool {
-	return z.evidence.Known >= z.policy.MinMachines && z.silentShare() >= z.policy.SuspectShare
+	return z.someZoneHeard && z.evidence.Known >= z.policy.MinMachines && z.silentShare() >= z.policy.SuspectShare
 }
 
 func (z *zone) observeServing(at Moment) {
