--- a/zonereturn/gate.go
+++ b/zonereturn/gate.go
@@ -56,7 +56,7 @@
 	switch {
 	case z.window != nil:
 		return DeniedWindow
-	case step == 0 && !s.Small:
+	case step == 0 && !s.Small && !z.ramp.relaxed:
 		return DeniedProbe
 	case z.starts.returning >= z.policy.startLimit(step, z.evidence.Heard):
 		return DeniedStarts
@@ -68,6 +68,9 @@
 	return Admitted
 }
 
+// byRamp tells whether the ramp alone turned a task away: it may come with a later step.
+func (d Denial) byRamp() bool { return d == DeniedProbe || d == DeniedStarts || d == DeniedFetches }
+
 // started notes that a task was placed in the zone.
 func (z *zone) started(s *Start, now ids.Instant) (bounced, forced bool) {
 	ramped := z.condition == Returning
--- a/zonereturn/manager.go
+++ b/zonereturn/manager.go
@@ -88,7 +88,7 @@
 	denial := z.admit(s)
 	if denial != Admitted {
 		m.stats.Denied[denial]++
-		if z.condition == Returning && !s.Critical {
+		if denial.byRamp() {
 			z.ramp.denied = true
 		}
 	}
--- a/zonereturn/manager_test.go
+++ b/zonereturn/manager_test.go
@@ -145,6 +145,36 @@
 	}
 }
 
+// Where no small task comes, any may prove the zone after a step's time; and a job that its
+// earlier moves keep away holds no step up.
+func TestProbeWithoutSmallTasks(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	large := Start{Task: ids.TaskRef{Job: "job-2"}}
+	if _, denial := b.start(large); denial != DeniedProbe {
+		t.Errorf("at once: %s", denial)
+	}
+	b.pass(testPolicy().StepTime, 10)
+	task, denial := b.start(large)
+	if denial != Admitted {
+		t.Fatalf("after a step's time: %s", denial)
+	}
+	b.m.Running("z", task, b.at.Now)
+	b.pass(time.Second, 10)
+	if st := b.m.Status(b.at)[1]; st.Step != 1 {
+		t.Fatalf("step %d after the probe succeeded", st.Step)
+	}
+	z := b.m.zones["z"]
+	z.displaced.jobs["job-3"] = &displacedJob{losses: 2, lastSpell: 2, returns: 1, returnedSpell: 1}
+	if _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-3"}, Small: true}); denial != DeniedBudget {
+		t.Errorf("a job that came back before: %s", denial)
+	}
+	b.pass(testPolicy().StepTime+time.Second, 10)
+	if st := b.m.Status(b.at)[1]; st.Step != 2 {
+		t.Errorf("step %d though nothing else waits", st.Step)
+	}
+}
+
 // Starts that fail, of more than one job, take a step back; those of one job do not.
 func TestRampShrinksOnTrouble(t *testing.T) {
 	for _, c := range []struct {
--- a/zonereturn/ramp.go
+++ b/zonereturn/ramp.go
@@ -21,6 +21,8 @@
 	failedJobs                 map[ids.JobID]bool
 	// denied tells that work was turned away in this step, so there is something to prove.
 	denied bool
+	// relaxed tells that any task may prove the zone, since no small one came.
+	relaxed bool
 	// setbacks counts the steps that were taken back.
 	setbacks   int
 	startTimes *latencies
@@ -29,7 +31,7 @@
 // enter begins a step.
 func (r *ramp) enter(step int, now ids.Instant) {
 	r.step, r.stepSince = max(0, step), now
-	r.started, r.succeeded, r.failed, r.denied = 0, 0, 0, false
+	r.started, r.succeeded, r.failed, r.denied, r.relaxed = 0, 0, 0, false, false
 	r.failedJobs = map[ids.JobID]bool{}
 	if r.startTimes == nil {
 		r.startTimes = newLatencies()
@@ -52,6 +54,10 @@
 	return len(r.failedJobs) >= minFailures && float64(r.failed) > tolerance*float64(r.succeeded+r.failed)
 }
 
+// lacksProbes tells whether work was turned away from the probe, and none came that may
+// prove the zone.
+func (r *ramp) lacksProbes() bool { return r.step == 0 && r.denied && r.started == 0 }
+
 // proven tells whether the starts of this step have shown enough for the next one: so many
 // have succeeded, or all that there were, or there was nothing to start.
 func (r *ramp) proven(successes, underWay int) bool {
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -222,6 +222,8 @@
 	case z.ramp.startTimes.slowerThan(z.usual, z.policy.SlowStartFactor):
 		z.setBack(at.Now, "starts are slow")
 	case at.Now < z.ramp.stepSince.Add(z.policy.StepTime):
+	case z.ramp.lacksProbes():
+		z.ramp.relaxed = true
 	case z.ramp.failing(z.policy.FailureTolerance):
 		z.setBack(at.Now, fmt.Sprintf("%d of %d starts failed", z.ramp.failed, z.ramp.failed+z.ramp.succeeded))
 	case z.ramp.proven(z.policy.StepSuccesses, z.starts.returning):
