Zone return: the budget of moves holds; tests for guards that nothing missed

Cause: 23 guards were taken out, one at a time, on a scratch copy. Jobs bound to a zone may always come back to it, as they can go nowhere else. Measured: with its guard taken out each test fails; all pass with it.

--- a/scheduler/zone_return.go
+++ b/scheduler/zone_return.go
@@ -191,7 +191,7 @@
 		Sharing:  fetch && m.fetchesAnother(j.spec.Image),
 		Host:     m.host,
 		Image:    j.spec.Image,
-		Patient:  !g.impatient(j),
+		Bound:    j.spec.Zone != "",
 	}
 }
 
@@ -217,12 +217,6 @@
 	return !j.spec.Service && !j.spec.Gang && g.core.estimates.expectedRun(j.spec) <= g.manager.SmallRun()
 }
 
-// impatient tells whether a job has waited for so long that its earlier moves no longer
-// keep it from a zone.
-func (g *zoneGate) impatient(j *job) bool {
-	return g.core.now > j.waitingSince.Add(g.manager.Patience())
-}
-
 // gated tells whether anything may be denied in a zone now.
 func (g *zoneGate) gated(zone ids.Zone) bool { return g != nil && g.manager.Gated(zone) }
 
--- a/scheduler/zone_return_test.go
+++ b/scheduler/zone_return_test.go
@@ -257,6 +257,9 @@
 func TestFlappingZoneIsHeldDownLonger(t *testing.T) {
 	m := calmZones(t, 2, 4)
 	m.fillZones()
+	m.submitJob(zoneArray(300)) // waits for every place
+	m.run(30 * s1)
+	m.core.opt.MaxMachines = len(m.core.registry.machineList)
 	var held []time.Duration
 	for range 3 {
 		m.cutZone("b", 45*s1)
@@ -580,3 +583,29 @@
 	}
 	return n
 }
+
+// No task is stopped to make room in a zone where nothing may start.
+func TestNothingIsStoppedForAClosedZone(t *testing.T) {
+	m := calmZones(t, 13, 3)
+	m.runFactor = 30
+	low := zoneArray(300)
+	low.Priority = wire.BestEffort
+	m.submitJob(low)
+	m.run(60 * s1)
+	m.core.opt.MaxMachines = len(m.core.registry.machineList)
+	m.core.OverrideZone(m.now, "b", zonereturn.Override{Kind: zonereturn.OverrideHold})
+	m.run(s1)
+	high := zoneArray(4)
+	high.Zone, high.Priority = "b", wire.High
+	m.submitJob(high)
+	m.run(20 * s1)
+	if stopped := m.core.lostWork[stopPreempted].tasks; stopped > 0 {
+		t.Errorf("%d tasks were stopped for a zone that is held back", stopped)
+	}
+	m.core.OverrideZone(m.now, "b", zonereturn.Override{Kind: zonereturn.OverrideRelease})
+	m.run(10 * s1)
+	if m.core.lostWork[stopPreempted].tasks == 0 {
+		t.Error("none was stopped after the release")
+	}
+	m.endOfDay()
+}
--- a/zonereturn/displacement.go
+++ b/zonereturn/displacement.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"ospreystile.example/ospreystile/ids"
 )
@@ -15,6 +16,8 @@
 	// the newest of them.
 	losses    int
 	lastSpell int
+	// lostAt is when it last lost a task: its patience counts from then.
+	lostAt ids.Instant
 	// returns counts the times that a task of the job was placed in the zone again after
 	// a loss, at most once for each; those that patience forced are not counted.
 	returns       int
@@ -29,12 +32,13 @@
 }
 
 // lose notes that the zone took a task of a job. It tells whether the record changed.
-func (d *displacements) lose(job ids.JobID) bool {
+func (d *displacements) lose(job ids.JobID, now ids.Instant) bool {
 	entry := d.jobs[job]
 	if entry == nil {
 		entry = &displacedJob{}
 		d.jobs[job] = entry
 	}
+	entry.lostAt = now
 	spell := max(1, d.spell) // a suspicion may still become the first
 	if entry.lastSpell == spell {
 		return false
@@ -46,13 +50,14 @@
 
 // comeBack notes that a task of a job was placed in the zone. It tells whether that is a
 // bounce: the first task of the job that comes back since the zone displaced it. forced
-// tells that the budget was exhausted, and only the job's long wait let it come.
-func (d *displacements) comeBack(job ids.JobID, budget int, patient bool) (bounced, forced bool) {
+// tells that the budget was exhausted, and only a long wait, or that it can go nowhere else,
+// let it come.
+func (d *displacements) comeBack(job ids.JobID, budget int, mayForce bool) (bounced, forced bool) {
 	entry := d.jobs[job]
 	if entry == nil || entry.lastSpell <= entry.returnedSpell {
 		return false, false
 	}
-	forced = entry.returns >= budget && !patient
+	forced = entry.returns >= budget && mayForce
 	if !forced {
 		entry.returns++
 	}
@@ -67,6 +72,14 @@
 	return entry != nil && entry.returns >= budget && entry.lastSpell > entry.returnedSpell
 }
 
+// patientUntil is until when a job that was displaced waits for room elsewhere.
+func (d *displacements) patientUntil(job ids.JobID, patience time.Duration) ids.Instant {
+	if entry := d.jobs[job]; entry != nil {
+		return entry.lostAt.Add(patience)
+	}
+	return 0
+}
+
 // worst is how often the job that came back most often did so.
 func (d *displacements) worst() int {
 	most := 0
--- a/zonereturn/gate.go
+++ b/zonereturn/gate.go
@@ -41,7 +41,7 @@
 		return DeniedDark
 	case !z.record.allows(z.condition):
 		return DeniedUnrecorded
-	case s.Patient && z.displaced.exhausted(s.Task.Job, z.policy.MoveBudget):
+	case !z.mayForce(s) && z.displaced.exhausted(s.Task.Job, z.policy.MoveBudget):
 		return DeniedBudget
 	case z.condition == Serving || s.Critical:
 		return Admitted
@@ -68,6 +68,12 @@
 	return Admitted
 }
 
+// mayForce tells whether a job's earlier moves do not count any more: it may go nowhere else,
+// or has waited for long since it was displaced.
+func (z *zone) mayForce(s *Start) bool {
+	return s.Bound || z.now >= z.displaced.patientUntil(s.Task.Job, z.policy.Patience)
+}
+
 // byRamp tells whether the ramp alone turned a task away: it may come with a later step.
 func (d Denial) byRamp() bool { return d == DeniedProbe || d == DeniedStarts || d == DeniedFetches }
 
@@ -78,7 +84,7 @@
 	if ramped && !s.Critical {
 		z.ramp.started++
 	}
-	if bounced, forced = z.displaced.comeBack(s.Task.Job, z.policy.MoveBudget, s.Patient); bounced {
+	if bounced, forced = z.displaced.comeBack(s.Task.Job, z.policy.MoveBudget, z.mayForce(s)); bounced {
 		z.record.lazy = true
 	}
 	return bounced, forced
--- a/zonereturn/manager.go
+++ b/zonereturn/manager.go
@@ -152,7 +152,7 @@
 		return
 	}
 	m.stats.Displaced++
-	if z.displaced.lose(job) {
+	if z.displaced.lose(job, z.now) {
 		z.record.lazy = true
 	}
 }
@@ -205,9 +205,6 @@
 	return 0
 }
 
-// Patience is how long a job waits until its budget of moves no longer counts.
-func (m *Manager) Patience() time.Duration { return m.policy.Patience }
-
 // SmallRun is how long a task that proves a zone is expected to run at most.
 func (m *Manager) SmallRun() time.Duration { return m.policy.ProbeMaxRun }
 
@@ -249,7 +246,7 @@
 // do differs from what others like it may.
 func (m *Manager) Restricted(job ids.JobID) bool {
 	for _, z := range m.zones {
-		if z.displaced.exhausted(job, m.policy.MoveBudget) {
+		if z.displaced.exhausted(job, m.policy.MoveBudget) && z.now < z.displaced.patientUntil(job, m.policy.Patience) {
 			return true
 		}
 	}
--- a/zonereturn/manager_test.go
+++ b/zonereturn/manager_test.go
@@ -65,7 +65,6 @@
 func (b *bench) start(s Start) (ids.TaskRef, Denial) {
 	b.tasks++
 	s.Task = ids.TaskRef{Job: s.Task.Job, Index: b.tasks}
-	s.Patient = true
 	if s.Host == "" {
 		s.Host = ids.Host(fmt.Sprintf("n-%d", b.tasks))
 	}
@@ -165,7 +164,7 @@
 		t.Fatalf("step %d after the probe succeeded", st.Step)
 	}
 	z := b.m.zones["z"]
-	z.displaced.jobs["job-3"] = &displacedJob{losses: 2, lastSpell: 2, returns: 1, returnedSpell: 1}
+	z.displaced.jobs["job-3"] = &displacedJob{losses: 2, lastSpell: 2, returns: 1, returnedSpell: 1, lostAt: b.at.Now}
 	if _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-3"}, Small: true}); denial != DeniedBudget {
 		t.Errorf("a job that came back before: %s", denial)
 	}
@@ -308,9 +307,9 @@
 	b.returning()
 	z := b.m.zones["z"]
 	for n := range 1000 {
-		z.displaced.lose(ids.JobID(fmt.Sprintf("job-%06d", n)))
+		z.displaced.lose(ids.JobID(fmt.Sprintf("job-%06d", n)), b.at.Now)
 	}
-	z.displaced.comeBack("job-000999", 1, true)
+	z.displaced.comeBack("job-000999", 1, false)
 	z.record.dirty = true
 	w, ok := b.m.NextWrite(b.at, 7, func(r *Record) bool { return len(r.Jobs) <= 60 })
 	if !ok || len(w.Record.Jobs) > 60 || len(w.Record.Jobs) < 20 || w.Record.Jobs[0] != "job-000999" || w.Record.Omitted != 1000-len(w.Record.Jobs) {
@@ -354,8 +353,8 @@
 func TestRecordRoundTrip(t *testing.T) {
 	b := newBench(t)
 	b.returning()
-	b.m.zones["z"].displaced.lose("job-1")
-	b.m.zones["z"].displaced.comeBack("job-1", 1, true)
+	b.m.zones["z"].displaced.lose("job-1", b.at.Now)
+	b.m.zones["z"].displaced.comeBack("job-1", 1, false)
 	b.m.Override("z", Override{Kind: OverrideHold, Reason: "works", UntilMS: b.at.Wall.Add(time.Hour).UnixMilli()}, b.at)
 	b.pass(10*time.Second, 10)
 	old, rec := b.m.zones["z"], b.written["z"]
@@ -366,7 +365,9 @@
 	if z.condition != old.condition || z.flaps != old.flaps || z.ramp.step > old.ramp.step || z.override != old.override || z.displaced.spell != old.displaced.spell {
 		t.Errorf("%+v\nwas %+v", z, old)
 	}
-	if got, want := *z.displaced.jobs["job-1"], *old.displaced.jobs["job-1"]; got != want {
+	want := *old.displaced.jobs["job-1"]
+	want.lostAt = later.Now // its patience counts anew
+	if got := *z.displaced.jobs["job-1"]; got != want {
 		t.Errorf("%+v, was %+v", got, want)
 	}
 	if gone := later.Now.Sub(z.ramp.began) - b.at.Now.Sub(old.ramp.began) - 3*time.Second; gone < -time.Millisecond || gone > time.Millisecond {
@@ -392,3 +393,75 @@
 		}
 	}
 }
+
+// With its full share the zone goes on returning while work is turned away: all of it would
+// come in one rush otherwise.
+func TestLastStepWaitsForTheBacklog(t *testing.T) {
+	b := newBench(t)
+	b.m.policy.ReturnMax = time.Hour
+	b.returning()
+	b.pass(3*5*time.Second, 10) // nothing to prove: on to the full share
+	if st := b.m.Status(b.at)[1]; st.Step != 3 {
+		t.Fatalf("step %d", st.Step)
+	}
+	for range 5 {
+		var running []ids.TaskRef
+		denial := Admitted
+		for denial == Admitted {
+			var task ids.TaskRef
+			if task, denial = b.start(Start{Task: ids.TaskRef{Job: "job-1"}}); denial == Admitted {
+				running = append(running, task)
+			}
+		}
+		for _, task := range running {
+			b.m.Running("z", task, b.at.Now)
+		}
+		b.pass(3*time.Second, 10) // less than a step, so that work waits in each
+		if c := b.m.Condition("z"); c != Returning {
+			t.Fatalf("%s although work was turned away", c)
+		}
+	}
+	b.pass(10*time.Second, 10)
+	if c := b.m.Condition("z"); c != Serving {
+		t.Errorf("%s once nothing waits", c)
+	}
+}
+
+// A further step counts only once it is recorded; a step back counts at once.
+func TestStepCountsOnceRecorded(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	z := b.m.zones["z"]
+	z.enterStep(2, b.at.Now, "")
+	admitted := func() (n int) {
+		for _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true}); denial == Admitted; _, denial = b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true}) {
+			n++
+		}
+		return n
+	}
+	if n := admitted(); n != testPolicy().ProbeTasks {
+		t.Errorf("%d starts by a step that is not recorded", n)
+	}
+	b.write()
+	if n := admitted(); n != 5-testPolicy().ProbeTasks {
+		t.Errorf("%d more starts once it is", n)
+	}
+	z.enterStep(1, b.at.Now, "")
+	if n := admitted(); n != 0 {
+		t.Errorf("%d starts after a step back", n)
+	}
+}
+
+// After a pause of the leader's process no silence counts until what came meanwhile is read.
+func TestPausedLeaderSuspectsNobody(t *testing.T) {
+	b := newBench(t)
+	b.pass(time.Second, 10)
+	for _, resumed := range []bool{true, false} {
+		b.at.Now = b.at.Now.Add(20 * time.Second)
+		b.m.Observe(b.at, Observation{View: View{StateSure: true, ProcessResumed: resumed}, Zones: map[ids.Zone]Evidence{
+			"z": {Known: 10, Silent: 10}, "other": {Known: 10, Heard: 10}}})
+		if got, want := b.m.Condition("z"), map[bool]Condition{true: Serving, false: Suspect}[resumed]; got != want {
+			t.Errorf("resumed %v: %s", resumed, got)
+		}
+	}
+}
--- a/zonereturn/record.go
+++ b/zonereturn/record.go
@@ -113,7 +113,7 @@
 	for i, job := range rec.Jobs {
 		if k := i * countsPerJob; k+countsPerJob <= len(rec.Counts) {
 			n := rec.Counts[k : k+countsPerJob]
-			z.displaced.jobs[job] = &displacedJob{losses: n[0], lastSpell: n[1], returns: n[2], returnedSpell: n[3]}
+			z.displaced.jobs[job] = &displacedJob{losses: n[0], lastSpell: n[1], returns: n[2], returnedSpell: n[3], lostAt: at.Now}
 		}
 	}
 	if z.condition == Returning {
--- a/zonereturn/starts.go
+++ b/zonereturn/starts.go
@@ -18,8 +18,8 @@
 	Fetch, Sharing bool
 	Host           ids.Host
 	Image          ids.Image
-	// Patient is false once the job has waited for so long that only its own limits count.
-	Patient bool
+	// Bound tells that the job may go nowhere else: its earlier moves do not count.
+	Bound bool
 }
 
 // fetchKey names the fetch of one image by one machine.
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -13,6 +13,8 @@
 	// usual are the start times in zones that do not return.
 	usual *latencies
 
+	// now is when it was last observed.
+	now       ids.Instant
 	condition Condition
 	since     ids.Instant
 	reason    string
@@ -84,7 +86,7 @@
 
 // observe takes in the evidence and moves on as time and evidence call for.
 func (z *zone) observe(at Moment, e Evidence, view View, someZoneHeard bool) {
-	z.evidence = e
+	z.evidence, z.now = e, at.Now
 	z.absent = min(z.absent, e.lost())
 	z.expireOverride(at)
 	z.someZoneHeard = someZoneHeard
