Zone return: the spread of services is restored by rate and budgets; incidents; windows shown

Need: where policy wants the spread restored, moves must be limited in rate and by a budget for each job, and never touch work that is done sooner where it is; operators of a service that runs unwatched must see afterwards what happened to a zone, and beforehand what a window means. Change: restore_moves_per_minute (off by default) moves one replica at a time back to a zone that displaced its service; arrays never. The zone's record keeps the newest eight incidents. Subcommands zone incidents and zone windows; start times of the step in zones.

--- a/cmd/ospreystile/main_test.go
+++ b/cmd/ospreystile/main_test.go
@@ -107,3 +107,23 @@
 		}
 	}
 }
+
+// Operators see what a window means before it opens, also around a change of clock and a
+// holiday.
+func TestWindowsAreShown(t *testing.T) {
+	operator := `{"zone_return": {"windows": [{"name": "bulletins", "time_zone": "Europe/Warsaw", "from": "02:30", "to": "07:00",
+		"calendar": "pl", "on": "workdays", "zones": ["wroclaw"]}]}}`
+	for at, want := range map[string]string{
+		"2026-10-30T12:00:00Z": "Mon 2026-11-02 02:30 CET",  // a weekend in between
+		"2026-11-10T12:00:00Z": "Thu 2026-11-12 02:30 CET",  // Independence Day
+		"2026-03-27T12:00:00Z": "Mon 2026-03-30 02:30 CEST", // clocks are set forward
+	} {
+		out, err := runCommand(t, operator, "zone", "windows", "--at", at)
+		if err != nil || !strings.Contains(out, want) || !strings.Contains(out, "[wroclaw]") {
+			t.Errorf("%s: %v: %s", at, err, out)
+		}
+	}
+	if _, err := runCommand(t, operator, "zone", "windows", "--at", "noon"); err == nil {
+		t.Error("accepted a time that is none")
+	}
+}
--- a/cmd/ospreystile/zones.go
+++ b/cmd/ospreystile/zones.go
@@ -55,6 +55,8 @@
 		overrideCommand(files, zonereturn.OverrideHold, "hold ZONE", "Start nothing new in a zone until this is lifted or over"),
 		overrideCommand(files, zonereturn.OverrideRelease, "release ZONE", "Lift a hold and end the return: the zone serves at once"),
 		overrideCommand(files, zonereturn.OverrideNone, "auto ZONE", "Lift a hold and leave the zone to its state machine"),
+		incidentsCommand(files),
+		windowsCommand(files),
 	)
 	return cmd
 }
@@ -98,6 +100,100 @@
 	return cmd
 }
 
+// incidentsCommand shows what happened to zones.
+func incidentsCommand(files *settingsFiles) *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "incidents",
+		Short: "Show the newest incidents of each zone: how long it was dark, what moved and came back",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			platform, _, err := files.load()
+			if err != nil {
+				return err
+			}
+			answer, err := operatorClient(platform).Zones(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return printZones(cmd.OutOrStdout(), answer, true)
+			}
+			return printIncidents(cmd.OutOrStdout(), answer)
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "as JSON, with the zones' conditions")
+	return cmd
+}
+
+// printIncidents writes the incidents of all zones as a table.
+func printIncidents(out io.Writer, answer node.ZonesAnswer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "ZONE\tBEGAN\tSERVES SINCE\tSPELLS\tDARK\tRETURN\tSETBACKS\tMACHINES\tTASKS\tJOBS\tBOUNCED\tFORCED\tRESTORED")
+	for _, z := range answer.Zones {
+		for _, i := range z.Incidents {
+			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", z.Zone, timeOfDay(i.BeganMS), timeOfDay(i.ServedMS),
+				i.Spells, seconds(i.DarkMS), seconds(i.ReturnMS), i.Setbacks, i.Machines, i.Tasks, i.Jobs, i.Bounces, i.Forced, i.Restored)
+		}
+	}
+	return table.Flush()
+}
+
+// seconds shows a time in milliseconds to the second.
+func seconds(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second).String()
+}
+
+// openingsShown is how many openings of each window are shown.
+const openingsShown = 3
+
+// windowsCommand shows when windows open next, so that operators see what their settings mean
+// around holidays and changes of clock.
+func windowsCommand(files *settingsFiles) *cobra.Command {
+	var at string
+	cmd := &cobra.Command{
+		Use:   "windows",
+		Short: "Show the next openings of each window for critical work",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, operator, err := files.load()
+			if err != nil {
+				return err
+			}
+			from := time.Now()
+			if at != "" {
+				if from, err = time.Parse(time.RFC3339, at); err != nil {
+					return fmt.Errorf("--at: %w", err)
+				}
+			}
+			policy, err := operator.ZoneReturn.Policy()
+			if err != nil {
+				return err
+			}
+			return printWindows(cmd.OutOrStdout(), policy, from)
+		},
+	}
+	cmd.Flags().StringVar(&at, "at", "", "from this time on, such as 2026-10-24T00:00:00Z; default: now")
+	return cmd
+}
+
+// printWindows writes the next openings of all windows as a table.
+func printWindows(out io.Writer, policy *zonereturn.Policy, from time.Time) error {
+	const layout = "Mon 2006-01-02 15:04 MST"
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "WINDOW\tZONES\tBEGINS\tENDS\tLASTS")
+	for _, w := range policy.Windows {
+		zones := "all"
+		if len(w.Zones()) > 0 {
+			zones = fmt.Sprint(w.Zones())
+		}
+		for _, o := range w.Openings(from, openingsShown) {
+			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", w.Name, zones, o.Begin.Format(layout), o.End.Format(layout), o.End.Sub(o.Begin))
+		}
+	}
+	return table.Flush()
+}
+
 // printZones writes the conditions as a table or as JSON.
 func printZones(out io.Writer, answer node.ZonesAnswer, asJSON bool) error {
 	if asJSON {
@@ -110,10 +206,10 @@
 		return err
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "ZONE\tCONDITION\tSINCE\tHEARD\tSTEP\tSTARTS\tFETCHES\tFLAPS\tDISPLACED\tHELD BACK\tUNTIL\tREASON")
+	fmt.Fprintln(table, "ZONE\tCONDITION\tSINCE\tHEARD\tSTEP\tSTARTS\tFETCHES\tSTART P90\tFLAPS\tDISPLACED\tHELD BACK\tUNTIL\tREASON")
 	for _, z := range answer.Zones {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d/%d\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\n", z.Zone, z.Condition, timeOfDay(z.SinceMS), z.Heard, z.Known,
-			stepOf(&z), limited(z.Starts, z.StartLimit), limited(z.Fetches, z.FetchLimit), z.Flaps, z.DisplacedIDs,
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d/%d\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\n", z.Zone, z.Condition, timeOfDay(z.SinceMS), z.Heard, z.Known,
+			stepOf(&z), limited(z.Starts, z.StartLimit), limited(z.Fetches, z.FetchLimit), startTimes(&z), z.Flaps, z.DisplacedIDs,
 			orDash(z.Holding), timeOfDay(z.UntilMS), orDash(z.Reason))
 	}
 	return table.Flush()
@@ -127,6 +223,14 @@
 	return fmt.Sprintf("%d/%d", z.Step, z.Steps)
 }
 
+// startTimes compares start times of the present step with those elsewhere.
+func startTimes(z *zonereturn.Status) string {
+	if z.StartP90MS == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%s (usual %s)", time.Duration(z.StartP90MS)*time.Millisecond, time.Duration(z.UsualP90MS)*time.Millisecond)
+}
+
 // limited is a count beside its limit, if there is one.
 func limited(count, limit int) string {
 	if limit == 0 {
--- a/internal/drill/zone_return_test.go
+++ b/internal/drill/zone_return_test.go
@@ -254,6 +254,9 @@
 	if st, _, ok := d.zone(zone); !ok || st.Override != zonereturn.OverrideNone || st.Condition != zonereturn.Serving {
 		d.t.Errorf("after the release: %+v", st)
 	}
+	if out, err = d.command(d.Nodes[0], "zone", "incidents"); err != nil || strings.Count(out, string(zone)) != 1 {
+		d.t.Errorf("incidents: %v: %s", err, out)
+	}
 	if out, err = d.command(d.Nodes[0], "zone", "hold", "poznan"); err == nil || strings.Count(out, "\n") != 1 || !strings.Contains(out, "unknown zone") {
 		d.t.Errorf("an unknown zone: %v: %q", err, out)
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -179,6 +179,7 @@
 		c.nextRoundAt = now.Add(max(c.opt.RoundInterval, time.Duration(c.admission.MachinesExamined-before)*c.opt.RoundCostPerMachine))
 	}
 	c.autoscaler.planFleet()
+	c.zones.restore()
 	c.zones.writeRecords()
 	c.records.writeRecords()
 	c.commands.dispatchCommands()
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -88,6 +88,10 @@
 	// allowColdStart tells that no machine which holds the image can take the job's
 	// tasks, so others may.
 	allowColdStart bool
+	// preferredZone is where a replica that was stopped to be moved should go, until
+	// preferredUntil.
+	preferredZone  ids.Zone
+	preferredUntil ids.Instant
 	antiAffinity   map[ids.Host]ids.Instant // where it failed, and when last
 	succeeded      int
 	failureRounds  int                          // in which it failed everywhere, since it last succeeded
--- a/scheduler/placement/placement.go
+++ b/scheduler/placement/placement.go
@@ -105,6 +105,7 @@
 	LatencySensitive bool    // the job's class must start within seconds
 	SpotRisk         float64 // chance that a spot machine is taken during the task
 	Suspect          bool    // the machine failed tasks or runs them slowly
+	Preferred        bool    // a replica was stopped to be moved there
 	Unproven         bool    // the zone has been lost and has yet to show that it works
 }
 
@@ -112,6 +113,9 @@
 // than a cached image, less than one where starts must come within seconds.
 const unprovenZonePenalty = 40
 
+// preferredZoneBonus outweighs all but a machine that fails its tasks.
+const preferredZoneBonus = 300
+
 // Score ranks offers for a job; the largest goes first. Kind of machine weighs
 // most, since spot work on ordinary machines takes room from work that has no
 // choice, and for classes that must start within seconds the image does.
@@ -138,6 +142,9 @@
 	if o.Suspect {
 		score -= 500
 	}
+	if o.Preferred {
+		score += preferredZoneBonus
+	}
 	if s.Service && o.Unproven {
 		score -= unprovenZonePenalty
 	}
--- a/scheduler/search.go
+++ b/scheduler/search.go
@@ -194,6 +194,7 @@
 	}
 	o.LatencySensitive = adm.core.latencySensitive(j)
 	o.Unproven = adm.core.zones.unproven(m.Zone)
+	o.Preferred = adm.core.prefers(j, m.Zone)
 	o.HostsServices = m.replicas > 0
 	o.Fetching = m.fetches[j.spec.Image] > 0
 	return o
--- a/scheduler/zone_return.go
+++ b/scheduler/zone_return.go
@@ -23,6 +23,8 @@
 	// coming counts the machines on their way to each zone, as of comingAt.
 	coming   map[ids.Zone]int
 	comingAt ids.Instant
+	// restoredAt is when moves back were last planned.
+	restoredAt ids.Instant
 }
 
 // zoneWrite is a zone's record on its way to the state service.
--- a/scheduler/zone_return_test.go
+++ b/scheduler/zone_return_test.go
@@ -609,3 +609,41 @@
 	}
 	m.endOfDay()
 }
+
+// Where operators want the spread restored, replicas move back one at a time and within the
+// service's budget, and arrays stay where they are.
+func TestSpreadOfServicesIsRestored(t *testing.T) {
+	m := calmZones(t, 14, 4)
+	m.opt.ZoneReturn.Restore = zonereturn.RestorePolicy{MovesPerMinute: 6, After: 20 * s1, Budget: 2}
+	m.takeOver()
+	m.old = nil
+	m.fillZones()
+	service := zoneArray(6)
+	service.Service = true
+	id := m.submitJob(service)
+	m.run(20 * s1)
+	before := servicePlacement(m.core.jobs[id]).Running["b"]
+	m.cutZone("b", 40*s1)
+	m.await("b", zonereturn.Dark, 30*s1)
+	m.await("b", zonereturn.Serving, 2*time.Minute)
+	down, moved := 0, 0
+	for end := m.now.Add(2 * time.Minute); m.now < end; m.run(100 * time.Millisecond) {
+		down = max(down, len(m.core.jobs[id].tasks)-len(m.core.jobs[id].active))
+		for _, incident := range m.core.zones.manager.Incidents("b") {
+			moved = incident.Restored
+		}
+	}
+	if before == 0 || moved == 0 {
+		t.Fatalf("%d replicas in the zone before, %d moved back: the day shows nothing", before, moved)
+	}
+	if down > 1 {
+		t.Errorf("%d replicas were down at once", down)
+	}
+	if entry := m.statusOf("b").Incidents; entry[len(entry)-1].Restored > 2*4 {
+		t.Errorf("%+v: more than two replicas of a service", entry[len(entry)-1])
+	}
+	if stopped := m.core.lostWork[stopDrained].tasks; stopped > 0 {
+		t.Errorf("%d tasks of arrays were moved", stopped)
+	}
+	m.endOfDay()
+}
--- a/zonereturn/displacement.go
+++ b/zonereturn/displacement.go
@@ -16,6 +16,8 @@
 	// the newest of them.
 	losses    int
 	lastSpell int
+	// restored counts the replicas that were moved back.
+	restored int
 	// lostAt is when it last lost a task: its patience counts from then.
 	lostAt ids.Instant
 	// returns counts the times that a task of the job was placed in the zone again after
--- /dev/null
+++ b/zonereturn/incident.go
@@ -0,0 +1,116 @@
+package zonereturn
+
+import (
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// Incident is what happened to a zone from the first time that it got dark until it had
+// served for long enough. Those that are over are kept, so that operators who were not
+// there can see them.
+type Incident struct {
+	// BeganMS is when the zone got dark, ServedMS when it last served again, 0 if it does
+	// not yet.
+	BeganMS  int64 `msgpack:"b" cbor:"1,keyasint" json:"began_ms"`
+	ServedMS int64 `msgpack:"e,omitempty" cbor:"2,keyasint" json:"served_ms"`
+	// Spells counts the times that it got dark, DarkMS how long it was so all together, and
+	// ReturnMS how long its returns took.
+	Spells   int   `msgpack:"s" cbor:"3,keyasint" json:"spells"`
+	DarkMS   int64 `msgpack:"d,omitempty" cbor:"4,keyasint" json:"dark_ms"`
+	ReturnMS int64 `msgpack:"r,omitempty" cbor:"5,keyasint" json:"return_ms"`
+	// Setbacks counts the steps that were taken back.
+	Setbacks int `msgpack:"k,omitempty" cbor:"6,keyasint" json:"setbacks"`
+	// Tasks were lost with the zone, of so many Jobs. Bounces counts the jobs that came
+	// back, Forced those beyond their budget, and Restored the replicas that were moved
+	// back.
+	Tasks    int `msgpack:"t,omitempty" cbor:"7,keyasint" json:"displaced_tasks"`
+	Jobs     int `msgpack:"j,omitempty" cbor:"8,keyasint" json:"displaced_jobs"`
+	Bounces  int `msgpack:"o,omitempty" cbor:"9,keyasint" json:"bounces"`
+	Forced   int `msgpack:"f,omitempty" cbor:"10,keyasint" json:"forced"`
+	Restored int `msgpack:"m,omitempty" cbor:"11,keyasint" json:"restored"`
+	// Machines is how many the zone had when it got dark.
+	Machines int `msgpack:"n,omitempty" cbor:"12,keyasint" json:"machines"`
+}
+
+// maxHistory bounds the incidents that are kept for a zone.
+const maxHistory = 8
+
+// incidentLog is a zone's present incident and those before it, the newest last.
+type incidentLog struct {
+	present *Incident
+	history []Incident
+}
+
+// begin notes that the zone got dark: another spell, or a new incident.
+func (l *incidentLog) begin(at Moment, machines int) {
+	if l.present == nil {
+		l.present = &Incident{BeganMS: at.Wall.UnixMilli(), Machines: machines}
+	}
+	l.present.Spells++
+	l.present.ServedMS = 0
+}
+
+// leave adds the time that the zone had a condition, once it has another.
+func (l *incidentLog) leave(c Condition, took time.Duration) {
+	if l.present == nil {
+		return
+	}
+	switch c {
+	case Dark:
+		l.present.DarkMS += took.Milliseconds()
+	case Returning:
+		l.present.ReturnMS += took.Milliseconds()
+	}
+}
+
+// serve notes that the zone serves again.
+func (l *incidentLog) serve(at Moment) {
+	if l.present != nil {
+		l.present.ServedMS = at.Wall.UnixMilli()
+	}
+}
+
+// close ends the present incident.
+func (l *incidentLog) close() {
+	if l.present == nil {
+		return
+	}
+	l.history = append(l.history, *l.present)
+	l.history = l.history[max(0, len(l.history)-maxHistory):]
+	l.present = nil
+}
+
+// count changes the present incident, if there is one.
+func (l *incidentLog) count(change func(*Incident)) {
+	if l.present != nil {
+		change(l.present)
+	}
+}
+
+// all lists the incidents, the present one last.
+func (l *incidentLog) all() []Incident {
+	out := append([]Incident(nil), l.history...)
+	if l.present != nil {
+		out = append(out, *l.present)
+	}
+	return out
+}
+
+// load takes in what a predecessor recorded. The last incident is the present one unless it
+// is over.
+func (l *incidentLog) load(recorded []Incident, open bool) {
+	l.history = append([]Incident(nil), recorded...)
+	if open && len(l.history) > 0 {
+		last := l.history[len(l.history)-1]
+		l.present, l.history = &last, l.history[:len(l.history)-1]
+	}
+}
+
+// Incidents lists the incidents of a zone, the newest last.
+func (m *Manager) Incidents(name ids.Zone) []Incident {
+	if z := m.zones[name]; z != nil {
+		return z.incidents.all()
+	}
+	return nil
+}
--- a/zonereturn/manager.go
+++ b/zonereturn/manager.go
@@ -14,6 +14,7 @@
 	zones  map[ids.Zone]*zone
 	// usualStarts are start times in zones that do not return, to compare with.
 	usualStarts *latencies
+	restorer    *restorer
 	stats       Stats
 	view        View
 }
@@ -37,7 +38,7 @@
 
 // NewManager makes a manager that knows no zone yet.
 func NewManager(policy *Policy) *Manager {
-	return &Manager{policy: policy, zones: map[ids.Zone]*zone{}, usualStarts: newLatencies()}
+	return &Manager{policy: policy, zones: map[ids.Zone]*zone{}, usualStarts: newLatencies(), restorer: newRestorer(policy.Restore)}
 }
 
 // zone finds a zone, or makes one that serves.
@@ -102,8 +103,10 @@
 	switch {
 	case forced:
 		m.stats.Forced++
+		z.incidents.count(func(i *Incident) { i.Forced++ })
 	case bounced:
 		m.stats.Bounces++
+		z.incidents.count(func(i *Incident) { i.Bounces++ })
 		m.stats.WorstBounces = max(m.stats.WorstBounces, z.displaced.worst())
 	}
 	if z.condition == Returning {
@@ -152,8 +155,10 @@
 		return
 	}
 	m.stats.Displaced++
+	z.incidents.count(func(i *Incident) { i.Tasks++ })
 	if z.displaced.lose(job, z.now) {
 		z.record.lazy = true
+		z.incidents.count(func(i *Incident) { i.Jobs = len(z.displaced.jobs) })
 	}
 }
 
--- a/zonereturn/override.go
+++ b/zonereturn/override.go
@@ -54,7 +54,7 @@
 	z.absent = z.evidence.lost()
 	switch z.condition {
 	case Returning, Dark:
-		z.enter(Serving, at.Now, "released by an operator: "+o.Reason)
+		z.serve(at, "released by an operator: "+o.Reason)
 	case Suspect:
 		z.resume = Serving
 	}
--- a/zonereturn/policy.go
+++ b/zonereturn/policy.go
@@ -47,6 +47,8 @@
 	// one incident. A job that has waited for Patience may come back in any case.
 	MoveBudget int
 	Patience   time.Duration
+	// Restore is how replicas are moved back once the zone serves.
+	Restore RestorePolicy
 	// Windows are the times in which only critical work returns.
 	Windows []*Window
 }
--- a/zonereturn/record.go
+++ b/zonereturn/record.go
@@ -19,11 +19,13 @@
 	Spell    int   `msgpack:"l,omitempty"`
 	Machines int   `msgpack:"m,omitempty"`
 	// Jobs are the displaced jobs, those that came back most often first. Counts holds
-	// for each how often it lost tasks, in which spell last, how often it came back, and
-	// in which spell last. Omitted counts those that did not fit.
+	// for each how often it lost tasks, in which spell last, how often it came back,
+	// in which spell last, and how many replicas were moved back. Omitted counts those that did not fit.
 	Jobs    []ids.JobID `msgpack:"j,omitempty"`
 	Counts  []int       `msgpack:"n,omitempty"`
 	Omitted int         `msgpack:"o,omitempty"`
+	// Incidents are those that are over, and the present one if Flaps is not 0.
+	Incidents []Incident `msgpack:"i,omitempty"`
 	// Override, OverrideReason and OverrideUntilMS are the operators' decision.
 	Override        uint8  `msgpack:"h,omitempty"`
 	OverrideReason  string `msgpack:"r,omitempty"`
@@ -31,7 +33,7 @@
 }
 
 // countsPerJob is how many numbers Record.Counts holds for a job.
-const countsPerJob = 4
+const countsPerJob = 5
 
 // maxRecordedJobs bounds the jobs in a record, and maxReason the operators' words.
 const (
@@ -82,7 +84,8 @@
 	rec := Record{
 		Nonce: nonce, Condition: uint8(z.recordable()), SinceMS: at.toWall(z.since).UnixMilli(),
 		Flaps: z.flaps, Spell: z.displaced.spell, Machines: z.machinesBefore,
-		Override: uint8(z.override.Kind), OverrideReason: z.override.Reason, OverrideUntilMS: z.override.UntilMS,
+		Incidents: z.incidents.all(),
+		Override:  uint8(z.override.Kind), OverrideReason: z.override.Reason, OverrideUntilMS: z.override.UntilMS,
 	}
 	if z.recordable() == Returning {
 		rec.Step, rec.BeganMS = z.ramp.step, at.toWall(z.ramp.began).UnixMilli()
@@ -93,7 +96,7 @@
 	for _, job := range jobs[:limit] {
 		entry := z.displaced.jobs[job]
 		rec.Jobs = append(rec.Jobs, job)
-		rec.Counts = append(rec.Counts, entry.losses, entry.lastSpell, entry.returns, entry.returnedSpell)
+		rec.Counts = append(rec.Counts, entry.losses, entry.lastSpell, entry.returns, entry.returnedSpell, entry.restored)
 	}
 	return rec
 }
@@ -107,13 +110,14 @@
 	z.since = at.toInstant(rec.SinceMS)
 	z.reason = "recorded by an earlier leader"
 	z.flaps, z.machinesBefore = rec.Flaps, rec.Machines
+	z.incidents.load(rec.Incidents, rec.Flaps > 0)
 	z.darkAt = at.Now // nothing there has been used since, as far as this leader knows
 	z.override = Override{Kind: OverrideKind(rec.Override), Reason: rec.OverrideReason, UntilMS: rec.OverrideUntilMS}
 	z.displaced.spell = rec.Spell
 	for i, job := range rec.Jobs {
 		if k := i * countsPerJob; k+countsPerJob <= len(rec.Counts) {
 			n := rec.Counts[k : k+countsPerJob]
-			z.displaced.jobs[job] = &displacedJob{losses: n[0], lastSpell: n[1], returns: n[2], returnedSpell: n[3], lostAt: at.Now}
+			z.displaced.jobs[job] = &displacedJob{losses: n[0], lastSpell: n[1], returns: n[2], returnedSpell: n[3], restored: n[4], lostAt: at.Now}
 		}
 	}
 	if z.condition == Returning {
@@ -130,6 +134,7 @@
 func (z *zone) loadUnreadable(revision ids.Revision, at Moment) {
 	z.condition, z.since, z.flaps = Dark, at.Now, 1
 	z.displaced.spell = 1
+	z.incidents.begin(at, 0)
 	z.reason = "the record cannot be read"
 	z.record.revision = revision
 	z.record.condition, z.record.dirty = Dark, true
--- a/zonereturn/settings.go
+++ b/zonereturn/settings.go
@@ -35,6 +35,9 @@
 	HoldLimitS        float64          `json:"hold_limit_s"`
 	MoveBudget        int              `json:"move_budget"`
 	PatienceS         float64          `json:"patience_s"`
+	RestorePerMinute  float64          `json:"restore_moves_per_minute"`
+	RestoreAfterS     float64          `json:"restore_after_s"`
+	RestoreBudget     int              `json:"restore_budget"`
 	Windows           []WindowSettings `json:"windows"`
 }
 
@@ -67,6 +70,7 @@
 		FailureTolerance: s.FailureTolerance, SlowStartFactor: s.SlowStartFactor,
 		StartsPerMachine: s.StartsPerMachine, FetchesPerMachine: s.FetchesPerMachine,
 		ReturnMax: ids.Seconds(s.ReturnMaxS), MoveBudget: s.MoveBudget, Patience: ids.Seconds(s.PatienceS),
+		Restore: RestorePolicy{MovesPerMinute: s.RestorePerMinute, After: ids.Seconds(s.RestoreAfterS), Budget: s.RestoreBudget},
 	}
 	for i := range s.Windows {
 		w, err := s.Windows[i].window(fmt.Sprintf("windows.%d", i))
@@ -94,6 +98,12 @@
 	case s.QuietS < s.HoldLimitS:
 		return settingError("quiet_s", "%g is below hold_limit_s, %g: flaps would be forgotten before they are over", s.QuietS, s.HoldLimitS)
 	}
+	if s.RestorePerMinute > 0 && s.MoveBudget == 0 {
+		return settingError("restore_moves_per_minute", "%g moves replicas back, which move_budget 0 forbids", s.RestorePerMinute)
+	}
+	if s.RestorePerMinute > 0 && s.RestoreAfterS >= s.QuietS {
+		return settingError("restore_after_s", "%g is not below quiet_s, %g: the incident would be over before", s.RestoreAfterS, s.QuietS)
+	}
 	for i := 1; i < len(s.Steps); i++ {
 		if s.Steps[i] <= s.Steps[i-1] {
 			return settingError(fmt.Sprintf("steps.%d", i), "%g is not above the step before, %g", s.Steps[i], s.Steps[i-1])
--- a/zonereturn/status.go
+++ b/zonereturn/status.go
@@ -31,6 +31,12 @@
 	UntilMS  int64        `cbor:"16,keyasint" json:"until_ms"`
 	Override OverrideKind `cbor:"17,keyasint" json:"override"`
 	Recorded bool         `cbor:"18,keyasint" json:"recorded"`
+	// StartP90MS is what nine in ten starts of the present step did not exceed, and
+	// UsualP90MS the same in zones that do not return; 0: too few.
+	StartP90MS int64 `cbor:"19,keyasint" json:"start_p90_ms"`
+	UsualP90MS int64 `cbor:"20,keyasint" json:"usual_start_p90_ms"`
+	// Incidents are the newest, the present one last.
+	Incidents []Incident `cbor:"21,keyasint" json:"incidents"`
 }
 
 // Status lists all zones by name.
@@ -50,7 +56,14 @@
 		Starts: z.starts.returning, Fetches: len(z.starts.fetches), DisplacedIDs: len(z.displaced.jobs),
 		Override: z.override.Kind, Recorded: !z.record.dirty && !z.record.inFlight,
 	}
+	s.Incidents = z.incidents.all()
+	if usual, ok := z.usual.high(); ok {
+		s.UsualP90MS = usual.Milliseconds()
+	}
 	if z.condition == Returning {
+		if took, ok := z.ramp.startTimes.high(); ok {
+			s.StartP90MS = took.Milliseconds()
+		}
 		s.Step = z.ramp.step
 		s.StartLimit = z.policy.startLimit(s.Step, z.evidence.Heard)
 		s.FetchLimit = z.policy.fetchLimit(s.Step, z.evidence.Heard)
--- a/zonereturn/window.go
+++ b/zonereturn/window.go
@@ -184,6 +184,25 @@
 	return until, open
 }
 
+// Opening is one time at which a window is open.
+type Opening struct{ Begin, End time.Time }
+
+// Openings lists the next times at which the window is open, in its own time zone, the
+// present one included.
+func (w *Window) Openings(from time.Time, count int) []Opening {
+	var out []Opening
+	local := from.In(w.location)
+	for days := -1; days < searchDays && len(out) < count; days++ {
+		if begin, end, ok := w.onDay(local, days); ok && end.After(from) {
+			out = append(out, Opening{begin, end})
+		}
+	}
+	return out
+}
+
+// Zones are those that the window is for; none: all.
+func (w *Window) Zones() []ids.Zone { return w.zones }
+
 // onDay is the window that begins some days from a local day, if one does.
 func (w *Window) onDay(local time.Time, days int) (begin, end time.Time, ok bool) {
 	noon := time.Date(local.Year(), local.Month(), local.Day()+days, 12, 0, 0, 0, w.location)
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -38,6 +38,7 @@
 	// darkAt is when it last got dark.
 	darkAt    ids.Instant
 	ramp      ramp
+	incidents incidentLog
 	displaced displacements
 	starts    startTracker
 	override  Override
@@ -59,6 +60,7 @@
 // enter changes the condition.
 func (z *zone) enter(c Condition, now ids.Instant, reason string) {
 	z.events = append(z.events, Event{Zone: z.name, From: z.condition, To: c, Step: z.ramp.step, Reason: reason})
+	z.incidents.leave(z.condition, now.Sub(z.since))
 	// A suspicion is not recorded: a successor forms its own.
 	if c != Suspect && (z.condition != Suspect || c != z.resume) {
 		z.record.dirty = true
@@ -122,6 +124,7 @@
 	if z.flaps > 0 && at.Now > z.since.Add(z.policy.Quiet) {
 		z.flaps = 0
 		z.displaced.clear()
+		z.incidents.close()
 		z.record.dirty = true
 	}
 }
@@ -179,6 +182,7 @@
 		z.machinesBefore = max(z.evidence.Known, 1)
 	}
 	z.absent = 0
+	z.incidents.begin(at, z.machinesBefore)
 	z.enter(Dark, at.Now, z.evidence.String())
 }
 
@@ -220,7 +224,7 @@
 	}
 	switch {
 	case at.Now >= z.ramp.began.Add(z.policy.ReturnMax):
-		z.enter(Serving, at.Now, "the return took its time")
+		z.serve(at, "the return took its time")
 	case z.ramp.startTimes.slowerThan(z.usual, z.policy.SlowStartFactor):
 		z.setBack(at.Now, "starts are slow")
 	case at.Now < z.ramp.stepSince.Add(z.policy.StepTime):
@@ -229,24 +233,32 @@
 	case z.ramp.failing(z.policy.FailureTolerance):
 		z.setBack(at.Now, fmt.Sprintf("%d of %d starts failed", z.ramp.failed, z.ramp.failed+z.ramp.succeeded))
 	case z.ramp.proven(z.policy.StepSuccesses, z.starts.returning):
-		z.advance(at.Now)
+		z.advance(at)
 	}
 }
 
+// serve ends the return.
+func (z *zone) serve(at Moment, reason string) {
+	z.enter(Serving, at.Now, reason)
+	z.incidents.serve(at)
+}
+
 // setBack takes a step back.
 func (z *zone) setBack(now ids.Instant, reason string) {
 	z.ramp.setbacks++
+	z.incidents.count(func(i *Incident) { i.Setbacks++ })
 	z.enterStep(z.ramp.step-1, now, reason)
 }
 
 // advance goes on to the next step, or ends the return after the last. In the last the zone
 // has its full share, still of starts and fetches under way: it ends once nothing had to be
 // turned away, or all that waited would come in one rush after all.
-func (z *zone) advance(now ids.Instant) {
+func (z *zone) advance(at Moment) {
+	now := at.Now
 	last := z.ramp.step >= z.policy.lastStep()
 	switch {
 	case last && !z.ramp.denied:
-		z.enter(Serving, now, "its work succeeds, and none waits for it")
+		z.serve(at, "its work succeeds, and none waits for it")
 		return
 	case last:
 		z.ramp.enter(z.ramp.step, now)
@@ -269,7 +281,7 @@
 
 // interesting tells whether there is anything about the zone that a successor must know.
 func (z *zone) interesting() bool {
-	return z.recordable() != Serving || z.flaps > 0 || z.override.Kind != OverrideNone
+	return z.recordable() != Serving || z.flaps > 0 || z.override.Kind != OverrideNone || len(z.incidents.history) > 0
 }
 
 // recordable is the condition that is recorded: a suspect zone's is the one before.
