--- /dev/null
+++ b/scheduler/zone_scenario_test.go
@@ -0,0 +1,195 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/wire"
+	"ospreystile.example/ospreystile/zonereturn"
+)
+
+// zoneDay is a random day on which zones are cut off, among all other troubles.
+func zoneDay(t *testing.T, seed uint64) *sim {
+	s := newSim(t, seed)
+	s.capacity = 4
+	s.watchZones()
+	return s
+}
+
+// playZoneDay plays rounds of a random day, with a zone cut in every other one.
+func (s *sim) playZoneDay(rounds int) []ids.JobID {
+	s.t.Helper()
+	var all []ids.JobID
+	for round := range rounds {
+		for range 1 + s.rng.IntN(3) {
+			id := ids.JobID(fmt.Sprintf("job-%03d", len(all)))
+			s.submit(id, s.waitingSpec(all))
+			all = append(all, id)
+		}
+		if s.rng.IntN(2) == 0 {
+			s.cutZone([]ids.Zone{"a", "b", "c"}[s.rng.IntN(3)], time.Duration(5+s.rng.IntN(70))*time.Second)
+		}
+		if round%3 == 0 {
+			s.trouble(all)
+		}
+		s.run(time.Duration(4+s.rng.IntN(20)) * time.Second)
+		if len(s.violations) > 0 {
+			s.t.Fatalf("rules broken: %v", s.violations)
+		}
+	}
+	return all
+}
+
+// array64 is an ordinary array for the tests of zones.
+func zoneArray(tasks int) *wire.Spec {
+	return &wire.Spec{Class: "c", Team: "gold", Priority: wire.Normal, Tasks: tasks, CPUs: 2, MemoryGB: 2, Image: "i", ImageGB: 1, EstimateS: 10}
+}
+
+// calmZones is a day without other faults: zones a, b and c with machines for all work.
+func calmZones(t *testing.T, seed uint64, capacity int) *scenario {
+	m := &scenario{sim: newSim(t, seed)}
+	m.faults, m.capacity = false, capacity
+	for i := range m.opt.Teams {
+		m.opt.Teams[i].Limit.CPUs, m.opt.Teams[i].Nominal.CPUs = 400, 400
+	}
+	m.opt.MaxMachines, m.opt.Idle = 60, 10*time.Minute
+	m.watchZones()
+	return m
+}
+
+// submitJob submits one job.
+func (m *scenario) submitJob(spec *wire.Spec) ids.JobID {
+	id := ids.JobID(fmt.Sprintf("job-%03d", len(m.all)))
+	m.submit(id, spec)
+	m.all = append(m.all, id)
+	return id
+}
+
+// fillZones has work in all zones: services and arrays that run for long.
+func (m *scenario) fillZones() (services, arrays []ids.JobID) {
+	m.runFactor = 20
+	for _, zone := range []ids.Zone{"a", "b", "c", ""} {
+		spec := zoneArray(10)
+		spec.Zone = zone
+		arrays = append(arrays, m.submitJob(spec))
+	}
+	for range 3 {
+		spec := zoneArray(4)
+		spec.Service, spec.Spread = true, true
+		services = append(services, m.submitJob(spec))
+	}
+	m.run(40 * s1)
+	for _, zone := range []ids.Zone{"a", "b"} {
+		if m.machinesIn(zone) < 3 {
+			m.t.Fatalf("zone %s has only %d machines", zone, m.machinesIn(zone))
+		}
+	}
+	return services, arrays
+}
+
+// machinesIn counts the machines of a zone that the core knows.
+func (m *scenario) machinesIn(zone ids.Zone) int {
+	n := 0
+	for _, w := range m.core.registry.machineList {
+		if w.Zone == zone && w.reported {
+			n++
+		}
+	}
+	return n
+}
+
+// await runs until a zone has a condition.
+func (m *scenario) await(zone ids.Zone, want zonereturn.Condition, within time.Duration) {
+	m.t.Helper()
+	for end := m.now.Add(within); m.condition(zone) != want; {
+		if m.now >= end {
+			m.t.Fatalf("zone %s is %s after %v, not %s: %v", zone, m.condition(zone), within, want, m.zones.conditions[zone])
+		}
+		m.run(100 * time.Millisecond)
+	}
+}
+
+// statusOf is what operators are told of a zone.
+func (m *scenario) statusOf(zone ids.Zone) zonereturn.Status {
+	m.t.Helper()
+	for _, st := range m.core.ZoneStatus(m.now) {
+		if st.Zone == zone {
+			return st
+		}
+	}
+	m.t.Fatalf("no status of zone %s", zone)
+	return zonereturn.Status{}
+}
+
+// endOfDay sees that every job comes to its end with no rule broken, and that none came
+// back to a zone more than once.
+func (m *scenario) endOfDay() {
+	m.t.Helper()
+	m.runFactor = 1
+	m.zones.cutUntil = map[ids.Zone]ids.Instant{}
+	m.toTheEnd(m.all, 30*time.Minute)
+	if m.zones.bounces > 1 {
+		m.t.Errorf("a job came back %d times", m.zones.bounces)
+	}
+}
+
+// placed counts the tasks of jobs that are on machines the leader takes for good.
+func (m *scenario) placed(jobs []ids.JobID) (placed, wanted int) {
+	for _, id := range jobs {
+		j := m.core.jobs[id]
+		wanted += len(j.tasks) - j.done
+		for _, a := range j.active {
+			if a.stopReason == stopNone && m.condition(a.machine.Zone) != zonereturn.Dark {
+				placed++
+			}
+		}
+	}
+	return placed, wanted
+}
+
+// attempts lists the newest attempts of jobs' tasks.
+func (m *scenario) attempts(jobs []ids.JobID) map[ids.TaskRef]ids.Attempt {
+	out := map[ids.TaskRef]ids.Attempt{}
+	for _, id := range jobs {
+		for i := range m.core.jobs[id].tasks {
+			out[ids.TaskRef{Job: id, Index: i}] = m.core.jobs[id].tasks[i].attempt
+		}
+	}
+	return out
+}
+
+// leasesOver tells whether what ran in a zone is surely gone, so that it waits for room.
+func (m *scenario) leasesOver(zone ids.Zone) bool {
+	for _, w := range m.core.registry.machineList {
+		if w.Zone == zone && len(w.tasks) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// runningOutside lists the attempts of a job's tasks that run outside a zone.
+func (m *scenario) runningOutside(id ids.JobID, zone ids.Zone) map[ids.TaskRef]ids.Attempt {
+	out := map[ids.TaskRef]ids.Attempt{}
+	for _, a := range m.core.jobs[id].active {
+		if a.machine.Zone != zone && a.phase == wire.TaskRunning {
+			out[a.ref()] = a.attempt
+		}
+	}
+	return out
+}
+
+// startsIn counts the tasks that were ever told to run in a zone.
+func (m *scenario) startsIn(zone ids.Zone) int {
+	n := 0
+	for _, id := range m.all {
+		for _, p := range m.sent[id] {
+			if p.w.zone == zone {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/zonereturn/record_test.go
@@ -0,0 +1,147 @@
+package zonereturn
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ospreystile.example/ospreystile/ids"
+)
+
+// The record stays inside its bound, and keeps the jobs that came back most often.
+func TestRecordIsBounded(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	z := b.m.zones["z"]
+	for n := range 1000 {
+		z.displaced.lose(ids.JobID(fmt.Sprintf("job-%06d", n)), b.at.Now)
+	}
+	z.displaced.comeBack("job-000999", 1, false)
+	z.record.dirty = true
+	w, ok := b.m.NextWrite(b.at, 7, func(r *Record) bool { return len(r.Jobs) <= 60 })
+	if !ok || len(w.Record.Jobs) > 60 || len(w.Record.Jobs) < 20 || w.Record.Jobs[0] != "job-000999" || w.Record.Omitted != 1000-len(w.Record.Jobs) {
+		t.Fatalf("%v %+v", ok, w.Record)
+	}
+	b.m.Refused("z")
+	if again, ok := b.m.NextWrite(b.at, 8, func(*Record) bool { return true }); !ok || len(again.Record.Jobs) >= len(w.Record.Jobs) {
+		t.Errorf("after a refusal: %v %d jobs", ok, len(again.Record.Jobs))
+	}
+}
+
+// A quiet zone leaves nothing behind but what operators may want to know of its incidents,
+// and is written no more. One without incidents leaves no record.
+func TestQuietZoneKeepsOnlyItsIncidents(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	b.m.Displaced("z", "job-1")
+	b.pass(time.Minute, 10)
+	if rec, ok := b.written["z"]; !ok || len(rec.Jobs) != 1 || rec.Flaps != 1 {
+		t.Fatalf("while its flaps count: %+v", rec)
+	}
+	b.pass(testPolicy().Quiet+time.Second, 10)
+	rec := b.written["z"]
+	if rec.Condition != uint8(Serving) || rec.Flaps != 0 || len(rec.Jobs) != 0 || len(rec.Incidents) != 1 {
+		t.Errorf("left behind: %+v", rec)
+	}
+	if got := rec.Incidents[0]; got.Spells != 1 || got.Tasks != 1 || got.Jobs != 1 || got.Machines != 10 || got.ServedMS <= got.BeganMS || got.DarkMS < 9000 || got.ReturnMS <= 0 {
+		t.Errorf("incident %+v", got)
+	}
+	writes := b.revs
+	b.pass(2*time.Minute, 10)
+	if b.revs != writes {
+		t.Errorf("%d writes about a quiet zone", b.revs-writes)
+	}
+	b.m.Override("other", Override{Kind: OverrideHold}, b.at)
+	b.write()
+	b.m.Override("other", Override{}, b.at)
+	b.write()
+	if rec, left := b.written["other"]; left {
+		t.Errorf("left behind by a hold: %+v", rec)
+	}
+}
+
+// Incidents are bounded, and the present one goes on after a succession.
+func TestIncidentsAreBounded(t *testing.T) {
+	var log incidentLog
+	at := Moment{Wall: time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)}
+	for n := range 3 * maxHistory {
+		log.begin(at, n)
+		log.begin(at, n)
+		log.close()
+	}
+	if got := log.all(); len(got) != maxHistory || got[maxHistory-1].Machines != 3*maxHistory-1 || got[0].Spells != 2 {
+		t.Errorf("%+v", got)
+	}
+	log.begin(at, 99)
+	var successor incidentLog
+	successor.load(log.all(), true)
+	successor.begin(at, 5)
+	if got := successor.all(); len(got) != maxHistory+1 || got[maxHistory].Spells != 2 || got[maxHistory].Machines != 99 {
+		t.Errorf("after a succession: %+v", got)
+	}
+}
+
+// A record that cannot be read is not taken for absent: the zone must show that it is there.
+func TestUnreadableRecordClosesTheZone(t *testing.T) {
+	b := newBench(t)
+	b.m.LoadUnreadable("z", 9, b.at)
+	if _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Critical: true}); denial != DeniedDark {
+		t.Errorf("%s", denial)
+	}
+	b.pass(6*time.Second, 10)
+	if c := b.m.Condition("z"); c != Returning {
+		t.Errorf("%s once its machines are heard", c)
+	}
+}
+
+// A successor that reads the record allows no more than the leader that wrote it, whatever
+// the step, and forgets neither flaps nor who came back.
+func TestRecordRoundTrip(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	b.m.zones["z"].displaced.lose("job-1", b.at.Now)
+	b.m.zones["z"].displaced.comeBack("job-1", 1, false)
+	b.m.Override("z", Override{Kind: OverrideHold, Reason: "works", UntilMS: b.at.Wall.Add(time.Hour).UnixMilli()}, b.at)
+	b.pass(10*time.Second, 10)
+	old, rec := b.m.zones["z"], b.written["z"]
+	successor := NewManager(testPolicy())
+	later := Moment{Now: ids.Instant(7 * time.Hour), Wall: b.at.Wall.Add(3 * time.Second)}
+	successor.Load("z", &rec, 5, later)
+	z := successor.zones["z"]
+	if z.condition != old.condition || z.flaps != old.flaps || z.ramp.step > old.ramp.step || z.override != old.override || z.displaced.spell != old.displaced.spell {
+		t.Errorf("%+v\nwas %+v", z, old)
+	}
+	want := *old.displaced.jobs["job-1"]
+	want.lostAt = later.Now // its patience counts anew
+	if got := *z.displaced.jobs["job-1"]; got != want {
+		t.Errorf("%+v, was %+v", got, want)
+	}
+	if gone := later.Now.Sub(z.ramp.began) - b.at.Now.Sub(old.ramp.began) - 3*time.Second; gone < -time.Millisecond || gone > time.Millisecond {
+		t.Errorf("the return's beginning moved by %v", gone)
+	}
+}
+
+// A further step counts only once it is recorded; a step back counts at once.
+func TestStepCountsOnceRecorded(t *testing.T) {
+	b := newBench(t)
+	b.returning()
+	z := b.m.zones["z"]
+	z.enterStep(2, b.at.Now, "")
+	admitted := func() (n int) {
+		for _, denial := b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true}); denial == Admitted; _, denial = b.start(Start{Task: ids.TaskRef{Job: "job-1"}, Small: true}) {
+			n++
+		}
+		return n
+	}
+	if n := admitted(); n != testPolicy().ProbeTasks {
+		t.Errorf("%d starts by a step that is not recorded", n)
+	}
+	b.write()
+	if n := admitted(); n != 5-testPolicy().ProbeTasks {
+		t.Errorf("%d more starts once it is", n)
+	}
+	z.enterStep(1, b.at.Now, "")
+	if n := admitted(); n != 0 {
+		t.Errorf("%d starts after a step back", n)
+	}
+}
