--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -58,11 +58,12 @@
 	done     chan error
 }
 
-// Program is how a controller is started: its path, and the arguments before the settings
-// file.
+// Program is how a controller is started: its path, the arguments before the settings file,
+// and the directory in which it runs.
 type Program struct {
 	Path string
 	Args []string
+	Dir  string
 }
 
 // NewWorld starts the stand-ins and writes the settings of so many controllers into a
@@ -142,7 +143,7 @@
 		}
 	}
 	n.command = exec.Command(p.Path, append(append([]string(nil), p.Args...), n.settings)...)
-	n.command.Stderr = n.log
+	n.command.Stderr, n.command.Dir = n.log, p.Dir
 	if err := n.command.Start(); err != nil {
 		return err
 	}
--- a/internal/drill/zone_return_test.go
+++ b/internal/drill/zone_return_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -43,12 +44,15 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	return Program{Path: path, Args: strings.Fields(service.Run)[1:]}
+	return Program{Path: path, Args: strings.Fields(service.Run)[1:], Dir: repository}
 }
 
-// withOperator starts the program with an operators' file beside what it is started with.
+// withOperator has the program started with an operators' file, unless it is so already.
 func (p Program) withOperator(file string) Program {
-	return Program{Path: p.Path, Args: append([]string{"--operator", file}, p.Args...)}
+	if !slices.Contains(p.Args, file) {
+		p.Args = append([]string{"--operator", file}, p.Args...)
+	}
+	return p
 }
 
 // zoneDrill is one test's deployment.
@@ -64,11 +68,8 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	operator, err := filepath.Abs(filepath.Join(repository, "deploy/zone-return.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	d := &zoneDrill{t: t, ctx: t.Context(), program: buildProgram(t).withOperator(operator)}
+	d := &zoneDrill{t: t, ctx: t.Context(), program: buildProgram(t).withOperator("deploy/zone-return.json")}
+	var err error
 	if d.World, err = NewWorld(t.TempDir(), zones, capacity, 3); err != nil {
 		t.Fatal(err)
 	}
