Zone return: a job kept off a zone stands for no other while that zone serves

Cause, found in reading: alike jobs are told apart by what the gate looks at only while some zone was in trouble, but the budget of moves counts until the incident is over. In between one job that its earlier moves kept from a zone made all others like it be passed over in that round, beside room that they may use. Also: what only the ramp asks for is worked out only for zones that return, and images tell jobs apart only then; after an incident each candidate had cost a walk over its tasks for ten minutes. Measured: TestRestrictedJobStandsForNoOther fails without the change.

--- a/scheduler/zone_hard_cases_test.go
+++ b/scheduler/zone_hard_cases_test.go
@@ -244,3 +244,30 @@
 	}
 	m.endOfDay()
 }
+
+// A job that its earlier moves keep from a zone does not stand for others like it, which may
+// use the zone, also once that serves again.
+func TestRestrictedJobStandsForNoOther(t *testing.T) {
+	m := calmZones(t, 15, 3)
+	m.fillZones()
+	restricted, free := zoneArray(300), zoneArray(2)
+	m.submitJob(restricted)
+	m.run(30 * s1)
+	m.core.opt.MaxMachines = len(m.core.registry.machineList)
+	for range 2 {
+		m.cutZone("b", 40*s1)
+		m.await("b", zonereturn.Dark, 30*s1)
+		m.await("b", zonereturn.Serving, 3*time.Minute)
+	}
+	j := m.core.jobs[m.all[len(m.all)-1]]
+	if len(j.pending) == 0 || !m.core.zones.manager.Restricted(j.id) {
+		t.Fatal("the day does not restrict the job")
+	}
+	id := m.submitJob(free)
+	before := len(m.sent[id])
+	m.run(5 * s1)
+	if len(m.sent[id]) == before {
+		t.Error("a job like it got no place although the zone is open to it")
+	}
+	m.endOfDay()
+}
--- a/scheduler/zone_return.go
+++ b/scheduler/zone_return.go
@@ -180,21 +180,19 @@
 	return out
 }
 
-// startOf describes a task that looks for a place on a machine.
+// startOf describes a task that looks for a place on a machine. What only the ramp asks for
+// is left out unless the zone returns.
 func (g *zoneGate) startOf(j *job, index int, m *machine) *zonereturn.Start {
+	s := &zonereturn.Start{Task: ids.TaskRef{Job: j.id, Index: index}, Critical: g.critical(j), Bound: j.spec.Zone != ""}
+	if !g.unproven(m.Zone) {
+		return s
+	}
 	cached := m.images[j.spec.Image]
 	// What the machine held before the zone was lost may be gone.
-	fetch := cached == nil || cached.usedAt < g.manager.ColdSince(m.Zone)
-	return &zonereturn.Start{
-		Task:     ids.TaskRef{Job: j.id, Index: index},
-		Critical: g.critical(j),
-		Small:    g.small(j),
-		Fetch:    fetch,
-		Sharing:  fetch && m.fetchesAnother(j.spec.Image),
-		Host:     m.host,
-		Image:    j.spec.Image,
-		Bound:    j.spec.Zone != "",
-	}
+	s.Fetch = cached == nil || cached.usedAt < g.manager.ColdSince(m.Zone)
+	s.Sharing = s.Fetch && m.fetchesAnother(j.spec.Image)
+	s.Small, s.Host, s.Image = g.small(j), m.host, j.spec.Image
+	return s
 }
 
 // fetchesAnother tells whether the machine fetches an image other than the given one.
@@ -241,11 +239,13 @@
 // request adds to a placement request what the gate looks at; ok is false for a job that is
 // like no other.
 func (g *zoneGate) request(j *job, sh *placementRequest) (ok bool) {
-	if !g.evacuating() {
+	if g == nil || !g.manager.AnyGated() {
 		return true
 	}
-	sh.image = j.spec.Image
-	sh.gate = gateClass{evaluated: true, critical: g.critical(j), small: g.small(j)}
+	if g.manager.AnyReturning() {
+		sh.image = j.spec.Image
+		sh.gate = gateClass{evaluated: true, critical: g.critical(j), small: g.small(j)}
+	}
 	return !g.manager.Restricted(j.id)
 }
 
--- a/zonereturn/manager.go
+++ b/zonereturn/manager.go
@@ -186,6 +186,26 @@
 	return z != nil && (z.condition != Serving || z.flaps > 0 || z.override.Kind != OverrideNone || !z.record.allows(Serving))
 }
 
+// AnyGated tells whether anything may be denied in some zone now.
+func (m *Manager) AnyGated() bool {
+	for name := range m.zones {
+		if m.Gated(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// AnyReturning tells whether some zone returns.
+func (m *Manager) AnyReturning() bool {
+	for _, z := range m.zones {
+		if z.condition == Returning {
+			return true
+		}
+	}
+	return false
+}
+
 // RentalLimit is how many machines may be on their way to a zone at once; limited is false
 // where there is no limit.
 func (m *Manager) RentalLimit(name ids.Zone) (most int, limited bool) {
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -53,7 +53,7 @@
 
 // newZone makes a zone that serves.
 func newZone(name ids.Zone, policy *Policy, usual *latencies, now ids.Instant) *zone {
-	z := &zone{name: name, policy: policy, usual: usual, since: now, starts: newStartTracker()}
+	z := &zone{name: name, policy: policy, usual: usual, now: now, since: now, starts: newStartTracker()}
 	z.record.jobLimit = maxRecordedJobs
 	z.displaced.clear()
 	return z
