--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -180,6 +180,7 @@
 	}
 	c.autoscaler.planFleet()
 	c.zones.restore()
+	c.records.refillBudget()
 	c.zones.writeRecords()
 	c.records.writeRecords()
 	c.commands.dispatchCommands()
--- a/scheduler/parts_test.go
+++ b/scheduler/parts_test.go
@@ -161,7 +161,7 @@
 	} {
 		b.c.now = b.now
 		w.writeBudget, w.budgetRefilledAt = c.budget, b.now.Add(-c.passed)
-		w.writeRecords()
+		w.refillBudget()
 		if w.mayWrite() != c.allows || w.writeBudget != c.after {
 			t.Errorf("%s: allows a write: %v, budget %v", c.name, w.mayWrite(), w.writeBudget)
 		}
--- a/scheduler/record_writer.go
+++ b/scheduler/record_writer.go
@@ -82,13 +82,19 @@
 // mayWrite tells whether the write rate allows one more change now.
 func (w *recordWriter) mayWrite() bool { return w.core.opt.WriteRate <= 0 || w.writeBudget >= 1 }
 
+// refillBudget adds what the write rate allows since the last time. It comes before anything
+// is written in a step: what is refilled in between goes to placements alone while thousands
+// of them wait, and the record of a zone that returns would never have its turn.
+func (w *recordWriter) refillBudget() {
+	w.writeBudget = min(w.core.opt.WriteRate, w.writeBudget+w.core.opt.WriteRate*w.core.now.Sub(w.budgetRefilledAt).Seconds())
+	w.budgetRefilledAt = w.core.now
+}
+
 // writeRecords turns dirty records into changes, no faster than the state service may be
 // written: placements first, then what is over, then what only lags behind. While writes
 // are scarce, as for half a minute after a zone is lost, the ends of jobs go before
 // placements: each is one write, users wait for it, and so may other jobs.
 func (w *recordWriter) writeRecords() {
-	w.writeBudget = min(w.core.opt.WriteRate, w.writeBudget+w.core.opt.WriteRate*w.core.now.Sub(w.budgetRefilledAt).Seconds())
-	w.budgetRefilledAt = w.core.now
 	if !w.mayWrite() {
 		return
 	}
--- a/scheduler/zone_hard_cases_test.go
+++ b/scheduler/zone_hard_cases_test.go
@@ -271,3 +271,23 @@
 	}
 	m.endOfDay()
 }
+
+// While placements take all writes that the rate allows, as for minutes after a zone is lost,
+// the zone's own record still has its turn, and the return ends in time.
+func TestZoneRecordIsWrittenThoughWritesAreScarce(t *testing.T) {
+	m := calmZones(t, 16, 6)
+	m.fillZones()
+	m.cutZone("b", 40*s1)
+	m.await("b", zonereturn.Dark, 30*s1)
+	m.core.opt.WriteRate, m.opt.WriteRate = 3, 3
+	m.runFactor = 1
+	m.jobs(40, func(sp *wire.Spec) { array(sp); sp.Tasks, sp.CPUs, sp.Team = 40, 1, "gold" })
+	m.run(m.zones.cutUntil["b"].Sub(m.now))
+	m.await("b", zonereturn.Returning, 30*s1)
+	m.await("b", zonereturn.Serving, m.opt.ZoneReturn.ReturnMax+10*s1)
+	if waiting := len(m.core.records.dirty); waiting == 0 {
+		t.Error("no record waits for the write rate: the day shows nothing")
+	}
+	m.core.opt.WriteRate, m.opt.WriteRate = 40, 40
+	m.endOfDay()
+}
