Zone return, read once more: one query command, one bound on reports, nothing unused

The commands zones and zone incidents repeated the query of the leader: queryCommand serves both. The bound after which a machine counts as silent for its zone stood beside the one after which nothing is placed there: healthMonitor.reportOverdue is both.

--- a/cmd/ospreystile/zones.go
+++ b/cmd/ospreystile/zones.go
@@ -27,10 +27,15 @@
 
 // zonesCommand shows the conditions of all zones.
 func zonesCommand(files *settingsFiles) *cobra.Command {
+	return queryCommand(files, "zones", "Show each zone's condition, why, and what is held back until when", printZoneTable)
+}
+
+// queryCommand asks the leader about all zones, and prints its answer as a table or as JSON.
+func queryCommand(files *settingsFiles, use, short string, printTable func(io.Writer, node.ZonesAnswer) error) *cobra.Command {
 	var asJSON bool
 	cmd := &cobra.Command{
-		Use:   "zones",
-		Short: "Show each zone's condition, why, and what is held back until when",
+		Use:   use,
+		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			platform, _, err := files.load()
@@ -41,7 +46,7 @@
 			if err != nil {
 				return err
 			}
-			return printZones(cmd.OutOrStdout(), answer, asJSON)
+			return printAnswer(cmd.OutOrStdout(), answer, asJSON, printTable)
 		},
 	}
 	cmd.Flags().BoolVar(&asJSON, "json", false, "as JSON")
@@ -89,7 +94,7 @@
 			if err != nil {
 				return err
 			}
-			return printZones(cmd.OutOrStdout(), answer, asJSON)
+			return printAnswer(cmd.OutOrStdout(), answer, asJSON, printZoneTable)
 		},
 	}
 	cmd.Flags().BoolVar(&asJSON, "json", false, "as JSON")
@@ -102,28 +107,7 @@
 
 // incidentsCommand shows what happened to zones.
 func incidentsCommand(files *settingsFiles) *cobra.Command {
-	var asJSON bool
-	cmd := &cobra.Command{
-		Use:   "incidents",
-		Short: "Show the newest incidents of each zone: how long it was dark, what moved and came back",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			platform, _, err := files.load()
-			if err != nil {
-				return err
-			}
-			answer, err := operatorClient(platform).Zones(cmd.Context())
-			if err != nil {
-				return err
-			}
-			if asJSON {
-				return printZones(cmd.OutOrStdout(), answer, true)
-			}
-			return printIncidents(cmd.OutOrStdout(), answer)
-		},
-	}
-	cmd.Flags().BoolVar(&asJSON, "json", false, "as JSON, with the zones' conditions")
-	return cmd
+	return queryCommand(files, "incidents", "Show the newest incidents of each zone: how long it was dark, what moved and came back", printIncidents)
 }
 
 // printIncidents writes the incidents of all zones as a table.
@@ -194,13 +178,18 @@
 	return table.Flush()
 }
 
-// printZones writes the conditions as a table or as JSON.
-func printZones(out io.Writer, answer node.ZonesAnswer, asJSON bool) error {
-	if asJSON {
-		encoder := json.NewEncoder(out)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(answer)
+// printAnswer writes the leader's answer as a table or as JSON.
+func printAnswer(out io.Writer, answer node.ZonesAnswer, asJSON bool, printTable func(io.Writer, node.ZonesAnswer) error) error {
+	if !asJSON {
+		return printTable(out, answer)
 	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(answer)
+}
+
+// printZoneTable writes the conditions of all zones as a table.
+func printZoneTable(out io.Writer, answer node.ZonesAnswer) error {
 	if !answer.Enabled {
 		_, err := fmt.Fprintln(out, "zones are not watched: zone_return.enabled is false in the operators' settings")
 		return err
--- a/internal/drill/state.go
+++ b/internal/drill/state.go
@@ -4,7 +4,6 @@
 package drill
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -101,19 +100,6 @@
 	return s.away
 }
 
-// Records returns the values under a prefix, by key.
-func (s *StateService) Records(prefix string) map[string]msgpack.RawMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := map[string]msgpack.RawMessage{}
-	for key, e := range s.entries {
-		if strings.HasPrefix(key, prefix) {
-			out[key] = e.Value
-		}
-	}
-	return out
-}
-
 // reply writes an answer.
 func reply(w http.ResponseWriter, status int, body any) {
 	w.WriteHeader(status)
@@ -329,6 +315,3 @@
 	}
 	return events, s.epoch, s.changed
 }
-
-// decodeJSON reads the output of a command.
-func decodeJSON(raw []byte, v any) error { return json.Unmarshal(raw, v) }
--- a/internal/drill/zone_return_test.go
+++ b/internal/drill/zone_return_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -114,7 +115,7 @@
 // zones asks for the conditions of all zones, as an operator does.
 func (d *zoneDrill) zones() (answer node.ZonesAnswer, ok bool) {
 	out, err := d.command(d.Nodes[0], "zones", "--json")
-	return answer, err == nil && decodeJSON([]byte(out), &answer) == nil
+	return answer, err == nil && json.Unmarshal([]byte(out), &answer) == nil
 }
 
 // zone is one zone's condition.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -190,7 +190,13 @@
 // usable tells whether new tasks may go to a machine.
 func (hm *healthMonitor) usable(m *machine) bool {
 	return m.reported && m.machineType != nil && !m.returning && m.takenBy == 0 && !m.callFailed && !m.unreachable && hm.trusted(m) &&
-		hm.core.now < m.lastHeard.Add(hm.core.opt.Report*3/2+1500*time.Millisecond)
+		hm.core.now < m.lastHeard.Add(hm.reportOverdue())
+}
+
+// reportOverdue is how long a machine may leave between two reports until nothing new is
+// placed there, and until it counts as silent for its zone.
+func (hm *healthMonitor) reportOverdue() time.Duration {
+	return hm.core.opt.Report*3/2 + 1500*time.Millisecond
 }
 
 // takesTasks tells whether a usable machine is not set aside either.
--- a/scheduler/zone_return.go
+++ b/scheduler/zone_return.go
@@ -141,17 +141,13 @@
 		return
 	}
 	view := g.view
-	view.ProcessResumed = g.core.resumedAt != 0 && g.core.now < g.core.resumedAt.Add(g.silenceLimit())
+	view.ProcessResumed = g.core.resumedAt != 0 && g.core.now < g.core.resumedAt.Add(g.core.health.reportOverdue())
 	if g.manager.Observe(g.core.moment(), zonereturn.Observation{Zones: g.evidence(), View: view}) {
 		g.core.schedulingDue = true
 	}
 	g.core.effects.ZoneEvents = append(g.core.effects.ZoneEvents, g.manager.TakeEvents()...)
 }
 
-// silenceLimit is how long a machine may leave between two reports until it counts as
-// silent; beyond it nothing new is placed there either.
-func (g *zoneGate) silenceLimit() time.Duration { return g.core.opt.Report*3/2 + 1500*time.Millisecond }
-
 // evidence counts the machines of each zone.
 func (g *zoneGate) evidence() map[ids.Zone]zonereturn.Evidence {
 	out := map[ids.Zone]zonereturn.Evidence{}
@@ -161,7 +157,7 @@
 		}
 		e := out[m.Zone]
 		e.Known++
-		silent := g.core.health.silentFor(m, g.silenceLimit())
+		silent := g.core.health.silentFor(m, g.core.health.reportOverdue())
 		switch {
 		case silent:
 			e.Silent++
--- a/zonereturn/manager.go
+++ b/zonereturn/manager.go
@@ -29,11 +29,6 @@
 	Forced int
 	// WorstBounces is how often the job that came back most often did so in one incident.
 	WorstBounces int
-	// Denied counts the admissions that were turned away, by reason.
-	Denied [DeniedBudget + 1]int
-	// PeakStarts is the most starts that are not critical under way in a zone that
-	// returns, as a part of what its step allowed.
-	PeakStarts float64
 }
 
 // NewManager makes a manager that knows no zone yet.
@@ -87,11 +82,8 @@
 		return Admitted
 	}
 	denial := z.admit(s)
-	if denial != Admitted {
-		m.stats.Denied[denial]++
-		if denial.byRamp() {
-			z.ramp.denied = true
-		}
+	if denial.byRamp() {
+		z.ramp.denied = true
 	}
 	return denial
 }
@@ -109,10 +101,6 @@
 		z.incidents.count(func(i *Incident) { i.Bounces++ })
 		m.stats.WorstBounces = max(m.stats.WorstBounces, z.displaced.worst())
 	}
-	if z.condition == Returning {
-		limit := z.policy.startLimit(z.ramp.step, z.evidence.Heard)
-		m.stats.PeakStarts = max(m.stats.PeakStarts, float64(z.starts.returning)/float64(limit))
-	}
 }
 
 // Inherited notes that a predecessor placed a task in a zone. It counts as under way until
--- a/zonereturn/status.go
+++ b/zonereturn/status.go
@@ -93,7 +93,7 @@
 	case z.condition == Dark:
 		return "all new work, until its machines are heard", at.toWall(z.since.Add(z.policy.Retry))
 	case z.condition == Returning && z.window != nil:
-		return fmt.Sprintf("all but critical work, by window %s", z.window.Name), z.windowUntil.Wall
+		return fmt.Sprintf("all but critical work, by window %s", z.window.Name), z.windowUntil
 	case z.condition == Returning && z.ramp.step == 0:
 		return "all but critical work and probes", at.toWall(z.ramp.began.Add(z.policy.ReturnMax))
 	case z.condition == Returning:
--- a/zonereturn/zone.go
+++ b/zonereturn/zone.go
@@ -47,7 +47,7 @@
 	record    recordState
 	// window is the window that is open while it returns, if any.
 	window      *Window
-	windowUntil Moment
+	windowUntil time.Time
 	events      []Event
 }
 
@@ -279,12 +279,10 @@
 // updateWindow notes the window that is open now.
 func (z *zone) updateWindow(at Moment) {
 	was := z.window
-	var until = at.Wall
-	z.window, until = z.policy.openWindow(z.name, at.Wall)
-	z.windowUntil = Moment{Now: at.Now.Add(until.Sub(at.Wall)), Wall: until}
+	z.window, z.windowUntil = z.policy.openWindow(z.name, at.Wall)
 	if z.window != nil && z.window != was {
 		z.events = append(z.events, Event{Zone: z.name, From: z.condition, To: z.condition, Step: z.ramp.step,
-			Reason: fmt.Sprintf("window %s until %s", z.window.Name, until.Format("2006-01-02 15:04 MST"))})
+			Reason: fmt.Sprintf("window %s until %s", z.window.Name, z.windowUntil.Format("2006-01-02 15:04 MST"))})
 	}
 }
 
