--- a/review/standin/users.go
+++ b/review/standin/users.go
@@ -35,19 +35,19 @@
 	WaitsOn                               []string
 }
 
-// SubmitAll submits jobs from many users at once, and waits until all are accepted or the context ends.
-func (u *Users) SubmitAll(ctx context.Context, users int, jobs []Job) {
-	next := make(chan Job)
+// Concurrently calls a function for each index below n, from several goroutines.
+func Concurrently(goroutines, n int, call func(i int)) {
+	next := make(chan int)
 	var group sync.WaitGroup
-	for range users {
+	for range goroutines {
 		group.Go(func() {
-			for job := range next {
-				u.SubmitUntilAccepted(ctx, job)
+			for i := range next {
+				call(i)
 			}
 		})
 	}
-	for _, job := range jobs {
-		next <- job
+	for i := range n {
+		next <- i
 	}
 	close(next)
 	group.Wait()
