A term needs the store alone: lead without the cloud's catalog, and record it

All tasks in the deployment end with their leases though no machine failed. A cancellation gets no answer, and every poll for its job gets 503 for 92 s, while the polls for other jobs are answered. With all controllers restarted in the outage no submission is accepted either.

Cause: the loader of a new term waited for the cloud's catalog, without a limit, before it read the records, and the election renewed the lease in the meantime. So no other controller was elected, although both others knew the catalog. And the catalog was only in the memory of each process.

Evidence: the restarted controller logs "leadership acquired", then "catalog read failed" each second, and never "records loaded".

Fix: a term begins without the catalog. Such a leader answers heartbeats, stops tasks, records their ends and acknowledges cancellations; it places and provisions nothing and terminates no idle machine. The leader records the machine types under catalog/ when they change other than in price, in one transaction fenced by its revision, and only what it read from the cloud. A controller that is started uses the record until the cloud has answered, so it accepts jobs and, as leader, places tasks. It works since nothing that a term waits for is outside the store any more: if the store does not answer, the lease is not renewed either.

Related paths: the loader has no other wait; a failed call to the store ends the term.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -88,7 +88,7 @@
 	leaderStore := kv.New(direct, storeRPS*leaderRequestShare)
 	c.userStore = kv.New(&userRoute{direct: direct, health: c.storeHealth, peers: c.peers, clock: clock}, storeRPS*userRequestShare/controllers)
 	cloudClient := cloud.New(platform.External.Cloud, platform.Settings.Cloud.RPS)
-	c.catalog = &catalog{cloud: cloudClient, localLeader: c.localLeader, log: log}
+	c.catalog = &catalog{cloud: cloudClient, store: c.userStore, localLeader: c.localLeader, log: log}
 	c.gate = &versionGate{peers: c.peers, store: c.userStore, clock: clock, localLeader: c.localLeader, log: log}
 	leadership := &leadership{localLeader: c.localLeader, dependencies: leader.Dependencies{Platform: platform, Operator: operator,
 		Clock: clock, Log: log, Store: leaderStore, Cloud: cloudClient, Workers: worker.New(), Catalog: c.catalog,
@@ -199,6 +199,7 @@
 	group.Go(func() error { return c.statusReader.run(ctx) })
 	group.Go(func() error { return c.relay.run(ctx) })
 	group.Go(func() error { return c.catalog.run(ctx) })
+	group.Go(func() error { return c.catalog.runRecorded(ctx) })
 	group.Go(func() error { return c.gate.run(ctx) })
 	for _, p := range c.peers {
 		group.Go(func() error { return c.pinger.run(ctx, p) })
--- a/controller/helpers_test.go
+++ b/controller/helpers_test.go
@@ -42,7 +42,7 @@
 
 // setTestCatalog sets a controller's catalog to a single machine type.
 func setTestCatalog(c *Controller) {
-	c.catalog.types.Store(&[]wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}})
+	c.catalog.fromCloud.Store(&[]wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 16, Zones: []ids.Zone{"a"}}})
 }
 
 // startController starts the goroutines that a controller needs to accept submissions.
--- a/controller/leader/leader.go
+++ b/controller/leader/leader.go
@@ -17,6 +17,7 @@
 
 	"ospreystile.example/ospreystile/cloud"
 	"ospreystile.example/ospreystile/config"
+	"ospreystile.example/ospreystile/controller/settings"
 	"ospreystile.example/ospreystile/election"
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/kv"
@@ -30,8 +31,12 @@
 
 // Catalog holds the machine types of the cloud. It is safe for concurrent use.
 type Catalog interface {
-	// MachineTypes returns the types as of the last read. ok is false before the first read.
+	// MachineTypes returns the types as they were last read from the cloud or, before the first
+	// read, as they are recorded in the key-value store. ok is false while neither is known.
 	MachineTypes() (types []wire.MachineType, ok bool)
+	// TypesFromCloud returns the types as this process last read them from the cloud. ok is false
+	// before the first read.
+	TypesFromCloud() (types []wire.MachineType, ok bool)
 }
 
 // VersionGate reports whether every controller can read all record formats that this version
@@ -97,9 +102,13 @@
 // writer changes records that only this leader may change, or the key-value store no longer keeps all
 // changes of jobs that the leader has not observed. It returns the cause.
 func (l *Leader) Run(ctx context.Context) error {
-	if l.dependencies.VersionGate.Open() { // the gate may have opened while the records were loaded
+	// The gate may have opened, and the catalog may have been read, while the records were loaded.
+	if l.dependencies.VersionGate.Open() {
 		l.core.EnableSplitRecords(l.dependencies.Clock.Now())
 	}
+	if types, ok := l.dependencies.Catalog.MachineTypes(); ok {
+		l.core.SetCatalog(types)
+	}
 	l.dependencies.Log.Info("records loaded", "leader_revision", l.term.Revision, "summary", l.core.Summary())
 	group, groupCtx := errgroup.WithContext(ctx)
 	context.AfterFunc(groupCtx, l.mailbox.close)
@@ -121,7 +130,9 @@
 		mailbox: l.mailbox, log: d.Log}
 	loop := &eventLoop{core: l.core, executors: executors, term: l.term, peers: d.Peers, clock: d.Clock, mailbox: l.mailbox,
 		log: d.Log, observedRevision: l.loadedRevision, acknowledged: &l.acknowledged}
+	catalog := catalogRecorder{catalog: d.Catalog, store: d.Store, fence: l.fence(), maxValueBytes: settings.MaxValueBytes(d.Platform), log: d.Log}
 	group.Go(func() error { return executors.records.committer.Run(ctx) })
+	group.Go(func() error { return catalog.run(ctx) })
 	group.Go(func() error { return executors.jobs.watch(ctx, l.loadedRevision) })
 	group.Go(func() error { return machines.run(ctx) })
 	group.Go(func() error { return executors.terminations.run(ctx) })
@@ -129,11 +140,16 @@
 	group.Go(func() error { return loop.run(ctx) })
 }
 
+// fence returns the precondition of all commits of the term.
+func (l *Leader) fence() kv.Precondition {
+	return kv.Precondition{Key: records.LeaderKey, Revision: l.term.Revision}
+}
+
 // newExecutors returns the executors of the term. Their goroutines run in the group.
 func (l *Leader) newExecutors(group *errgroup.Group, authorizedCloud *cloud.Client) *executors {
 	d := &l.dependencies
-	fence := &kv.Precondition{Key: records.LeaderKey, Revision: l.term.Revision}
-	committer := commit.New(d.Store, d.transactionLimits(), fence, d.Log)
+	fence := l.fence()
+	committer := commit.New(d.Store, d.transactionLimits(), &fence, d.Log)
 	return &executors{
 		records:      recordWriter{committer: committer, term: l.term, mailbox: l.mailbox, log: d.Log},
 		workers:      workerCaller{client: d.Workers, group: group, mailbox: l.mailbox, log: d.Log},
--- a/controller/leader/leader_test.go
+++ b/controller/leader/leader_test.go
@@ -21,7 +21,8 @@
 // testCatalog is a Catalog that has been read.
 type testCatalog []wire.MachineType
 
-func (c testCatalog) MachineTypes() ([]wire.MachineType, bool) { return c, true }
+func (c testCatalog) MachineTypes() ([]wire.MachineType, bool)   { return c, true }
+func (c testCatalog) TypesFromCloud() ([]wire.MachineType, bool) { return c, true }
 
 // testVersionGate is a VersionGate that Load does not open.
 type testVersionGate struct{ open bool }
--- a/controller/leader/load.go
+++ b/controller/leader/load.go
@@ -10,16 +10,12 @@
 	"ospreystile.example/ospreystile/election"
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/kv"
-	"ospreystile.example/ospreystile/monotonic"
 	"ospreystile.example/ospreystile/records"
 	"ospreystile.example/ospreystile/scheduler"
 	"ospreystile.example/ospreystile/wire"
 	"ospreystile.example/ospreystile/zonerecovery"
 )
 
-// catalogCheckInterval is the time between two checks whether the catalog has been read.
-const catalogCheckInterval = 100 * time.Millisecond
-
 // loader creates a scheduler core from the records. One goroutine uses it once, before the event
 // loop starts.
 type loader struct {
@@ -34,11 +30,10 @@
 // load loads all records into a new core. Commits of previous leaders are fenced by the revisions of
 // their terms, so only jobs can change in the meantime. Jobs and zones are loaded before admissions,
 // so that each admitted task is counted for its job and its zone.
+//
+// load does not wait for the catalog. A leader that knows no machine types cannot place tasks, but it
+// answers heartbeats, which keeps all tasks running, and it acts on cancellations.
 func (l *loader) load(ctx context.Context) error {
-	types, err := l.awaitCatalog(ctx)
-	if err != nil {
-		return err
-	}
 	if err := l.VersionGate.Load(ctx, l.Store); err != nil {
 		return err
 	}
@@ -48,6 +43,7 @@
 	}
 	options := l.schedulerOptions(l.term.Revision, previousLeader)
 	options.WallClockMS = time.Now().UnixMilli()
+	types, _ := l.Catalog.MachineTypes()
 	l.core = scheduler.New(options, types)
 	if l.revision, err = l.Store.List(ctx, records.JobPrefix, l.loadJob); err != nil {
 		return err
@@ -62,18 +58,6 @@
 	return nil
 }
 
-// awaitCatalog waits until the cloud's catalog has been read, and returns its machine types.
-func (l *loader) awaitCatalog(ctx context.Context) ([]wire.MachineType, error) {
-	for {
-		if types, ok := l.Catalog.MachineTypes(); ok {
-			return types, nil
-		}
-		if !monotonic.Sleep(ctx, catalogCheckInterval) {
-			return nil, ctx.Err()
-		}
-	}
-}
-
 // ensureFleetRecord reports whether the fleet record already existed, which means that there was a
 // previous leader. If the record did not exist, ensureFleetRecord writes it.
 func (l *loader) ensureFleetRecord(ctx context.Context) (previousLeader bool, err error) {
--- a/internal/faulttest/cloud.go
+++ b/internal/faulttest/cloud.go
@@ -23,6 +23,7 @@
 	startWorker func(wire.Machine) *Worker
 
 	mu       sync.Mutex
+	outage   bool
 	machines map[ids.MachineID]*cloudMachine
 	requests map[string][]ids.MachineID // machines by the ID of their provision request
 	lastID   int
@@ -57,10 +58,42 @@
 	mux.HandleFunc("POST /hosts", c.handleProvision)
 	mux.HandleFunc("POST /hosts/return", c.handleTerminate)
 	mux.HandleFunc("GET /hosts", c.handleList)
-	c.server = httptest.NewServer(mux)
+	c.server = httptest.NewServer(c.refuseOrServe(mux))
 	return c
 }
 
+// refuseOrServe returns a handler that refuses all requests during an outage, and otherwise passes them to
+// next.
+func (c *Cloud) refuseOrServe(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.inOutage() {
+			respond(w, http.StatusServiceUnavailable, map[string]string{"error": "trouble"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// StartOutage makes the cloud refuse all requests. Its machines continue to run.
+func (c *Cloud) StartOutage() { c.setOutage(true) }
+
+// EndOutage makes the cloud execute requests again.
+func (c *Cloud) EndOutage() { c.setOutage(false) }
+
+// setOutage sets whether the cloud refuses all requests.
+func (c *Cloud) setOutage(outage bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outage = outage
+}
+
+// inOutage reports whether the cloud refuses all requests.
+func (c *Cloud) inOutage() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outage
+}
+
 // Address returns the host:port on which the cloud listens.
 func (c *Cloud) Address() string { return strings.TrimPrefix(c.server.URL, "http://") }
 
--- a/internal/faulttest/deployment.go
+++ b/internal/faulttest/deployment.go
@@ -23,10 +23,13 @@
 	Boot              time.Duration // of machines
 }
 
+// defaultLease is the lease of workers in all deployments.
+const defaultLease = 6 * time.Second
+
 // defaultTiming is the timing of all deployments.
 var defaultTiming = Timing{
 	HeartbeatInterval: 400 * time.Millisecond,
-	Lease:             6 * time.Second,
+	Lease:             defaultLease,
 	ImageFetch:        300 * time.Millisecond,
 	Boot:              time.Second,
 }
--- a/internal/faulttest/history.go
+++ b/internal/faulttest/history.go
@@ -159,3 +159,17 @@
 	}
 	return count
 }
+
+// Terminations returns the number of the job's running tasks that ended after the given time without having
+// completed.
+func (h *History) Terminations(job ids.JobID, after time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := 0
+	for _, event := range h.events {
+		if event.Kind == Terminated && event.Task.Job == job && event.At.After(after) {
+			count++
+		}
+	}
+	return count
+}
--- a/records/keys.go
+++ b/records/keys.go
@@ -16,6 +16,9 @@
 	// ZonePrefix is the prefix of the keys of zones. These records exist only if the
 	// operators' settings enabled zone recovery. Versions without zone recovery do not read them.
 	ZonePrefix = "zones/"
+	// CatalogPrefix is the prefix of the keys of the parts of the cloud's catalog. Versions that
+	// read the catalog from the cloud alone do not read them.
+	CatalogPrefix = "catalog/"
 	// LeaderKey is the key that names the leader and is attached to its lease. The revision of
 	// the key fences the leader's commits.
 	LeaderKey = "leader"
@@ -32,6 +35,10 @@
 // ZoneKey returns the key of the record of a zone's condition.
 func ZoneKey(zone ids.Zone) string { return ZonePrefix + string(zone) }
 
+// CatalogKey returns the key of a part of the cloud's catalog. Numbers begin at 0 and are zero-padded
+// so that the parts are listed in order.
+func CatalogKey(number int) string { return fmt.Sprintf("%s%05d", CatalogPrefix, number) }
+
 // AdmissionKey returns the key of one admission slice of a job. Numbers are zero-padded so that
 // the slices of a job are listed in order.
 func AdmissionKey(id ids.JobID, number int) string {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -55,7 +55,9 @@
 	commands   *commandDispatcher
 }
 
-// SetCatalog sets the cloud's machine types with their current prices.
+// SetCatalog sets the cloud's machine types with their current prices. Before the first call, unless New
+// was called with machine types, no task is placed, and no machine is provisioned or terminated as idle.
+// All else proceeds: heartbeats are answered, tasks are stopped, and their ends are recorded.
 func (c *Core) SetCatalog(types []wire.MachineType) { c.cluster.SetCatalog(types) }
 
 // Superseded reports whether an agent has seen a later leader.
--- a/scheduler/scale_in.go
+++ b/scheduler/scale_in.go
@@ -36,8 +36,12 @@
 	terminateMachine(m *cluster.Machine, reason terminateReason)
 }
 
-// terminateIdleMachines terminates the machines whose idle timeout has expired.
+// terminateIdleMachines terminates the machines whose idle timeout has expired. It terminates none while
+// the catalog is unknown: no task can be placed then, so machines may be idle although work waits for them.
 func (s *scaleIn) terminateIdleMachines() {
+	if len(s.cluster.Types()) == 0 {
+		return
+	}
 	surpluses := s.headroom.surpluses()
 	for _, m := range s.cluster.Machines() {
 		if !idle(m) || !s.idleTooLong(m, surpluses) {
--- a/scheduler/scenarios_test.go
+++ b/scheduler/scenarios_test.go
@@ -152,6 +152,21 @@
 		s.cancelEachNth(1)
 		s.run(120 * second)
 	}},
+	{"failovers in a cloud outage, in which the new leaders do not know the catalog", func(s *scenario) {
+		s.submitJobs(8, nil)
+		s.submitJobs(4, asService)
+		s.run(40 * second)
+		s.cloudOutageUntil, s.catalogUnknownUntil = s.fromNow(100*second), s.fromNow(100*second)
+		for range 4 {
+			s.failOver()
+			s.submitJobs(2, nil)
+			s.run(10 * second)
+			s.cancelEachNth(5)
+			s.eachNthWorker(4, func(w *simWorker) { w.partitionedUntil = s.fromNow(20 * second) })
+			s.run(15 * second)
+		}
+		s.run(30 * second)
+	}},
 	{"long-running arrays in a zone that is partitioned together with its leader", func(s *scenario) {
 		s.runTimeFactor = 8
 		s.submitJobs(10, func(spec *wire.JobSpec) { asArray(spec); spec.Zone = "a" })
--- a/scheduler/sim_cloud_test.go
+++ b/scheduler/sim_cloud_test.go
@@ -16,6 +16,7 @@
 // lack of capacity, machines that boot late or within seconds, and stale machine lists.
 type simCloud struct {
 	cloudOutageUntil    monotonic.Instant // no request is executed until then
+	catalogUnknownUntil monotonic.Instant // leaders that are elected before then do not know the catalog
 	types               []wire.MachineType
 	capacity            int // maximum number of machines of each site
 	quickBootChance     float64
@@ -85,6 +86,21 @@
 	return boot
 }
 
+// catalogOfNewLeader returns the machine types that a new leader knows. If it knows none, it is told them once
+// catalogUnknownUntil has passed.
+func (s *sim) catalogOfNewLeader() []wire.MachineType {
+	if s.now >= s.catalogUnknownUntil {
+		return s.types
+	}
+	term := s.term
+	s.after(s.catalogUnknownUntil.Sub(s.now), func() {
+		if s.term == term {
+			s.core.SetCatalog(s.types)
+		}
+	})
+	return nil
+}
+
 // machineTypeOf returns the machine type of a worker.
 func (s *sim) machineTypeOf(w *simWorker) *wire.MachineType {
 	return &s.types[slices.IndexFunc(s.types, func(t wire.MachineType) bool { return t.Name == w.machineType })]
--- a/scheduler/sim_controllers_test.go
+++ b/scheduler/sim_controllers_test.go
@@ -49,7 +49,7 @@
 	opt := s.opt
 	opt.Revision, opt.PreviousLeader = s.leaderRevision, hadLeader
 	opt.WallClockMS = int64(time.Duration(s.now) / time.Millisecond)
-	s.core = New(opt, s.types)
+	s.core = New(opt, s.catalogOfNewLeader())
 	s.loadRecords()
 	s.core.Begin(s.now)
 	for _, heartbeat := range s.delayedHeartbeats {
