Record terminations before the cloud is called; a right of its own for each call

Cause: calls to the cloud were made under the authority to answer heartbeats, which outlives the lease by design. Agents check the fencing token, the cloud checks nothing. To the former leader the machines were idle, since they sent their heartbeats to the next one. A call in flight when its leader ended had the same effect without any cut.

Evidence: the simulations did not check terminations.

Fix: a termination is committed under terminations/, fenced by the leader's revision, before the call. So either the record exists, and every later leader reads it, does not use the machines and terminates them itself; or the leader was replaced, and no call is made. It needs the valid lease besides. Terminations for a cancelled job cannot need the store, since they have to happen in its outage too; they wait 2 s for their record at most, and a leader places nothing on a machine that held such a task while a previous leader may act. Provisioning ends once a later leader cannot be ruled out; the list shows its machines. Until the version gate is open nothing is recorded, as an older version would not read it.

TestCancelledTaskOnAnUnreachableMachine and TestTerminationDoesNotWaitForARecord read the new list of decisions for cancelled jobs; the latter also runs with recorded terminations. The health check lost a branch that could not be reached: a call to terminate never ended without a confirmation.

--- a/controller/leader/executors.go
+++ b/controller/leader/executors.go
@@ -14,12 +14,14 @@
 // executors executes the core's decisions. Only the event loop calls it, and no method blocks. The
 // goroutines that it starts end with the context and post their results as events.
 type executors struct {
-	records      recordWriter
-	workers      workerCaller
-	jobs         jobReader
-	provisioner  provisioner
-	terminations *terminator
-	log          *slog.Logger
+	records     recordWriter
+	workers     workerCaller
+	jobs        jobReader
+	provisioner provisioner
+	// terminations terminates machines while the leader holds its lease, and cancelledTerminations
+	// those that hold tasks of cancelled jobs. Neither waits for the other.
+	terminations, cancelledTerminations *terminator
+	log                                 *slog.Logger
 }
 
 // execute executes the decisions that need no further query of the core; eventLoop.dispatch executes
@@ -31,9 +33,8 @@
 	for _, request := range decisions.Provision {
 		x.provisioner.provision(ctx, request)
 	}
-	if len(decisions.Terminate) > 0 {
-		x.terminations.add(decisions.Terminate)
-	}
+	x.terminations.add(decisions.Terminate)
+	x.cancelledTerminations.add(decisions.TerminateCancelled)
 	for _, e := range decisions.ZoneEvents {
 		x.log.Info("zone condition changed", "zone", e.Zone, "from", e.From, "to", e.To, "step", e.Step, "reason", e.Reason)
 	}
--- a/controller/leader/leader.go
+++ b/controller/leader/leader.go
@@ -123,10 +123,8 @@
 // start starts the goroutines of the term in a group. They end when the context ends at the latest.
 func (l *Leader) start(ctx context.Context, group *errgroup.Group) {
 	d := &l.dependencies
-	// The cloud does not fence calls, so the client checks the term before each call.
-	authorizedCloud := d.Cloud.AuthorizedBy(l.term.MayAnswerHeartbeats)
-	executors := l.newExecutors(group, authorizedCloud)
-	machines := machineLister{cloud: authorizedCloud, callsPerSecond: d.Platform.Settings.Cloud.RPS, clock: d.Clock,
+	executors := l.newExecutors(group)
+	machines := machineLister{cloud: d.Cloud.AuthorizedBy(l.term.MayAnswerHeartbeats), callsPerSecond: d.Platform.Settings.Cloud.RPS, clock: d.Clock,
 		mailbox: l.mailbox, log: d.Log}
 	loop := &eventLoop{core: l.core, executors: executors, term: l.term, peers: d.Peers, clock: d.Clock, mailbox: l.mailbox,
 		log: d.Log, observedRevision: l.loadedRevision, acknowledged: &l.acknowledged}
@@ -136,6 +134,7 @@
 	group.Go(func() error { return executors.jobs.watch(ctx, l.loadedRevision) })
 	group.Go(func() error { return machines.run(ctx) })
 	group.Go(func() error { return executors.terminations.run(ctx) })
+	group.Go(func() error { return executors.cancelledTerminations.run(ctx) })
 	group.Go(func() error { return awaitFollowers(ctx, d.Peers, l.term.Revision, l.mailbox) })
 	group.Go(func() error { return loop.run(ctx) })
 }
@@ -145,8 +144,9 @@
 	return kv.Precondition{Key: records.LeaderKey, Revision: l.term.Revision}
 }
 
-// newExecutors returns the executors of the term. Their goroutines run in the group.
-func (l *Leader) newExecutors(group *errgroup.Group, authorizedCloud *cloud.Client) *executors {
+// newExecutors returns the executors of the term. Their goroutines run in the group. The cloud does not fence
+// calls, so the clients check the term before each call.
+func (l *Leader) newExecutors(group *errgroup.Group) *executors {
 	d := &l.dependencies
 	fence := l.fence()
 	committer := commit.New(d.Store, d.transactionLimits(), &fence, d.Log)
@@ -154,8 +154,10 @@
 		records:      recordWriter{committer: committer, term: l.term, mailbox: l.mailbox, log: d.Log},
 		workers:      workerCaller{client: d.Workers, group: group, mailbox: l.mailbox, log: d.Log},
 		jobs:         jobReader{store: d.Store, group: group, mailbox: l.mailbox, log: d.Log},
-		provisioner:  provisioner{cloud: authorizedCloud, group: group, mailbox: l.mailbox, log: d.Log},
-		terminations: newTerminator(authorizedCloud, l.mailbox, d.Log),
-		log:          d.Log,
+		provisioner:  provisioner{cloud: d.Cloud.AuthorizedBy(l.term.MayProvision), group: group, mailbox: l.mailbox, log: d.Log},
+		terminations: newTerminator(d.Cloud.AuthorizedBy(l.term.MayTerminate), l.mailbox, d.Log),
+		// See election.Authority.MayTerminate for the authority.
+		cancelledTerminations: newTerminator(d.Cloud.AuthorizedBy(l.term.MayAnswerHeartbeats), l.mailbox, d.Log),
+		log:                   d.Log,
 	}
 }
--- a/controller/leader/load.go
+++ b/controller/leader/load.go
@@ -54,6 +54,9 @@
 	if _, err := l.Store.List(ctx, records.AdmissionPrefix, l.loadAdmission); err != nil {
 		return err
 	}
+	if _, err := l.Store.List(ctx, records.TerminationPrefix, l.loadTermination); err != nil {
+		return err
+	}
 	l.core.Begin(l.Clock.Now())
 	return nil
 }
@@ -131,6 +134,17 @@
 	return nil
 }
 
+// loadTermination loads the record of a termination. A record that cannot be decoded is logged and kept.
+func (l *loader) loadTermination(entry kv.Entry) error {
+	var record records.Termination
+	if err := wire.Decode(entry.Value, &record); err != nil {
+		logUnreadable(l.Log, entry.Key, err)
+		return nil
+	}
+	l.core.LoadTermination(&record, entry.Revision)
+	return nil
+}
+
 // logUnreadable logs a record that cannot be decoded. Such a record is never treated as absent. It does
 // not end the term either: it would end every later term too, and no job would be scheduled.
 func logUnreadable(log *slog.Logger, key string, err error) {
--- a/controller/leader/options.go
+++ b/controller/leader/options.go
@@ -81,7 +81,7 @@
 func (d *Dependencies) setRecordOptions(options *scheduler.Options) {
 	options.MaxTxnOps = d.transactionLimits().Operations
 	options.MaxValueBytes = settings.MaxValueBytes(d.Platform)
-	options.SplitRecords = d.VersionGate.Open()
+	options.SplitRecords, options.RecordTerminations = d.VersionGate.Open(), d.VersionGate.Open()
 	options.SliceTasks = d.Operator.Quota.SliceTasks
 	options.LazyWriteDelay = lazyWriteDelay
 	options.WriteRate = recordWriteFraction * d.Platform.Settings.KV.Strictest().WriteRPS
--- a/controller/leader/termination.go
+++ b/controller/leader/termination.go
@@ -16,7 +16,7 @@
 const terminationInterval = 400 * time.Millisecond
 
 // terminator terminates machines in batches, so that most of the cloud's request rate remains available
-// for provisioning.
+// for provisioning. While its client is not authorized, it waits.
 type terminator struct {
 	cloud   *cloud.Client
 	mailbox *mailbox
@@ -31,7 +31,11 @@
 }
 
 // add queues machines. It does not block.
-func (t *terminator) add(machines []ids.MachineID) { t.queue.Add(machines...) }
+func (t *terminator) add(machines []ids.MachineID) {
+	if len(machines) > 0 {
+		t.queue.Add(machines...)
+	}
+}
 
 // takeBatch removes and returns as many queued machines as one call may terminate.
 func (t *terminator) takeBatch() []ids.MachineID { return t.queue.Take(cloud.MaxTerminateBatch) }
--- a/election/authority.go
+++ b/election/authority.go
@@ -39,14 +39,17 @@
 	// restrictedToReplicas reports whether heartbeats of machines without replicas must not
 	// be answered.
 	restrictedToReplicas bool
+	// mayProvision reports whether machines may be provisioned, and mayTerminate whether machines
+	// may be terminated.
+	mayProvision, mayTerminate bool
 }
 
 var authorityPermissions = [...]permissions{
 	AuthorityExpired:         {name: "expired"},
 	AuthorityExpiredIsolated: {name: "expired, isolated", restrictedToReplicas: true},
 	AuthorityEnded:           {name: "ended, lease valid", holdsLease: true},
-	AuthorityLeaseValid:      {name: "lease valid", holdsLease: true, mayAnswerHeartbeats: true},
-	AuthorityOutage:          {name: "store outage", mayAnswerHeartbeats: true},
+	AuthorityLeaseValid:      {name: "lease valid", holdsLease: true, mayAnswerHeartbeats: true, mayProvision: true, mayTerminate: true},
+	AuthorityOutage:          {name: "store outage", mayAnswerHeartbeats: true, mayProvision: true},
 	AuthorityIsolated:        {name: "isolated", mayAnswerHeartbeats: true, restrictedToReplicas: true},
 }
 
@@ -64,6 +67,15 @@
 // answered. For machines with replicas see MayAnswerHeartbeats.
 func (a Authority) RestrictedToReplicas() bool { return authorityPermissions[a].restrictedToReplicas }
 
+// MayProvision reports whether machines may be provisioned. A later leader uses or terminates machines that
+// this one has provisioned.
+func (a Authority) MayProvision() bool { return authorityPermissions[a].mayProvision }
+
+// MayTerminate reports whether machines may be terminated. Without the lease this leader does not know what
+// a later leader has placed on a machine. Machines with tasks of cancelled jobs are the exception: they may
+// be terminated as long as heartbeats may be answered, because a later leader places nothing on them.
+func (a Authority) MayTerminate() bool { return authorityPermissions[a].mayTerminate }
+
 // Authority derives what the leader may do now from the validity of its lease, the age of the
 // last renewal and the acknowledgements of the peers. It takes no lock.
 func (t *Term) Authority() Authority {
--- a/election/authority_test.go
+++ b/election/authority_test.go
@@ -92,6 +92,8 @@
 		{"HoldsLease", term.HoldsLease(), s.wantHoldsLease()},
 		{"MayAnswerHeartbeats", term.MayAnswerHeartbeats(), s.wantMayAnswerHeartbeats()},
 		{"RestrictedToReplicas", term.RestrictedToReplicas(), s.wantRestrictedToReplicas()},
+		{"MayProvision", term.MayProvision(), s.wantMayAnswerHeartbeats() && !s.wantRestrictedToReplicas()},
+		{"MayTerminate", term.MayTerminate(), s.wantHoldsLease() && !s.ended},
 	} {
 		if predicate.got != predicate.want {
 			t.Errorf("%s = %t, want %t, with authority %q of %+v", predicate.name, predicate.got, predicate.want, term.Authority(), s)
--- a/election/term.go
+++ b/election/term.go
@@ -41,6 +41,12 @@
 // answered now. For machines with replicas see MayAnswerHeartbeats.
 func (t *Term) RestrictedToReplicas() bool { return t.Authority().RestrictedToReplicas() }
 
+// MayProvision reports whether machines may be provisioned now. See [Authority.MayProvision].
+func (t *Term) MayProvision() bool { return t.Authority().MayProvision() }
+
+// MayTerminate reports whether machines may be terminated now. See [Authority.MayTerminate].
+func (t *Term) MayTerminate() bool { return t.Authority().MayTerminate() }
+
 // RecordPeerAck records that a peer, asked at askedAt, knew of no later leader. startedAt is the
 // latest instant at which the peer's process can have started. Both are instants of the
 // leader's own clock. An acknowledgement counts only if that process was running while the
--- a/records/golden_test.go
+++ b/records/golden_test.go
@@ -45,6 +45,7 @@
 			Tasks: []int{64, 2, 0}, Done: []int{67}}},
 		{Name: "admission slice, split, last part", Value: AdmissionSlice{Nonce: 98, Machines: []ids.MachineID{"n-000007"}, Zones: []ids.Zone{"zone-b"},
 			Tasks: []int{65, 1, 0, 66, 300, -1}, Done: []int{69}}},
+		{Name: "termination", Value: Termination{Nonce: 99, Machines: []ids.MachineID{"n-000231", "n-000007"}}},
 		{Name: "catalog part", Value: CatalogPart{Types: goldenTypes("g8")}},
 	})
 }
@@ -55,6 +56,8 @@
 		{name: "prefix of jobs", got: JobPrefix, want: "jobs/"},
 		{name: "prefix of admission slices", got: AdmissionPrefix, want: "admissions/"},
 		{name: "prefix of zones", got: ZonePrefix, want: "zones/"},
+		{name: "prefix of terminations", got: TerminationPrefix, want: "terminations/"},
+		{name: "termination", got: TerminationKey(42), want: "terminations/00000000000000000042"},
 		{name: "prefix of the catalog", got: CatalogPrefix, want: "catalog/"},
 		{name: "part of the catalog", got: CatalogKey(42), want: "catalog/00042"},
 		{name: "leader lease", got: LeaderKey, want: "leader"},
--- a/records/keys.go
+++ b/records/keys.go
@@ -19,6 +19,9 @@
 	// CatalogPrefix is the prefix of the keys of the parts of the cloud's catalog. Versions that
 	// read the catalog from the cloud alone do not read them.
 	CatalogPrefix = "catalog/"
+	// TerminationPrefix is the prefix of the keys of terminations. These records exist only once every
+	// controller reads them.
+	TerminationPrefix = "terminations/"
 	// LeaderKey is the key that names the leader and is attached to its lease. The revision of
 	// the key fences the leader's commits.
 	LeaderKey = "leader"
@@ -39,6 +42,10 @@
 // so that the parts are listed in order.
 func CatalogKey(number int) string { return fmt.Sprintf("%s%05d", CatalogPrefix, number) }
 
+// TerminationKey returns the key of the record of a termination. The nonce is zero-padded so that
+// terminations are listed in the order of their decision.
+func TerminationKey(nonce uint64) string { return fmt.Sprintf("%s%020d", TerminationPrefix, nonce) }
+
 // AdmissionKey returns the key of one admission slice of a job. Numbers are zero-padded so that
 // the slices of a job are listed in order.
 func AdmissionKey(id ids.JobID, number int) string {
--- a/scheduler/benchmark_test.go
+++ b/scheduler/benchmark_test.go
@@ -222,8 +222,8 @@
 	for _, request := range decisions.Provision {
 		l.provision(request)
 	}
-	if len(decisions.Terminate) > 0 {
-		l.terminate(decisions.Terminate)
+	if machines := slices.Concat(decisions.Terminate, decisions.TerminateCancelled); len(machines) > 0 {
+		l.terminate(machines)
 	}
 }
 
--- a/scheduler/cluster/machine.go
+++ b/scheduler/cluster/machine.go
@@ -54,14 +54,13 @@
 	ProvisionedThisTerm bool // by this leader, so no previous leader can have terminated it
 	ListedStatus        wire.MachineStatus
 	MissingLists        int // consecutive machine lists that lack it; see machineRegistry.countMissing
-	// Terminating reports whether it has been decided to terminate the machine, TerminateInFlight
-	// whether a call to terminate it is in flight, and Terminated whether the cloud has confirmed the
-	// termination.
-	Terminating, TerminateInFlight, Terminated bool
+	// Terminating reports whether it has been decided to terminate the machine, and Terminated whether
+	// the cloud has confirmed the termination.
+	Terminating, Terminated bool
 }
 
 // AgentStatus holds what the machine's agent has sent and when it was answered. Heartbeat processing
-// writes it, except HadReplicas, which previousLeaders sets.
+// writes it, except HadReplicas and HadCancelledTask, which previousLeaders sets.
 type AgentStatus struct {
 	HeartbeatThisTerm bool // at least one heartbeat was received in this term
 	Incarnation       ids.AgentIncarnation
@@ -74,8 +73,11 @@
 	Fenced   bool
 	FencedAt monotonic.Instant
 	// HadReplicas reports whether a replica was recorded on the machine when this term began.
-	HadReplicas   bool
-	ReportedTasks []ReportedTask
+	HadReplicas bool
+	// HadCancelledTask reports whether the machine held a task of a cancelled job while a previous
+	// leader could terminate it for that.
+	HadCancelledTask bool
+	ReportedTasks    []ReportedTask
 }
 
 // MachineCommands holds the state of the calls to the machine. Command dispatch writes it.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -50,9 +50,10 @@
 	reservations *reservations
 
 	// The components that derive decisions from the state.
-	autoscaler *autoscaler
-	records    *recordWriter
-	commands   *commandDispatcher
+	autoscaler   *autoscaler
+	terminations *terminationRecorder
+	records      *recordWriter
+	commands     *commandDispatcher
 }
 
 // SetCatalog sets the cloud's machine types with their current prices. Before the first call, unless New
@@ -101,6 +102,7 @@
 	c.zones.restore()
 	c.records.refillBudget()
 	c.zones.writeRecords()
+	c.terminations.writeRecords()
 	c.records.writeRecords()
 	calls := c.commands.dispatch()
 	return c.takeDecisions(calls)
@@ -150,6 +152,7 @@
 		ZoneEvents:        c.zones.takeTransitions(),
 	}
 	out.RecordChanges, out.RereadJobs = c.records.takeDecisions()
-	out.Terminate, out.ForgetAddresses = c.registry.takeDecisions()
+	out.ForgetAddresses = c.registry.takeDecisions()
+	out.Terminate, out.TerminateCancelled = c.terminations.takeDecisions()
 	return out
 }
--- a/scheduler/decisions.go
+++ b/scheduler/decisions.go
@@ -16,7 +16,11 @@
 	// RequestHeartbeats lists machines that should be asked for a heartbeat.
 	RequestHeartbeats []ids.MachineID
 	Provision         []wire.ProvisionRequest
-	Terminate         []ids.MachineID
+	// Terminate lists machines to terminate while the leader holds its lease. TerminateCancelled lists
+	// machines that hold a task of a cancelled job. They must be terminated before the cancel deadline,
+	// and so also without the lease. A machine may be in both lists. The cloud's confirmations should be
+	// passed to Core.MachinesTerminated.
+	Terminate, TerminateCancelled []ids.MachineID
 	// RereadJobs lists jobs whose records should be read again and passed to Core.ObserveJob.
 	RereadJobs []ids.JobID
 	// ForgetAddresses lists the addresses of machines that are being terminated.
--- a/scheduler/digest_test.go
+++ b/scheduler/digest_test.go
@@ -46,6 +46,7 @@
 	d.addMachines("direct", decisions.SendCommands)
 	d.addMachines("show", decisions.RequestHeartbeats)
 	d.addMachines("return", decisions.Terminate)
+	d.addMachines("return for a cancellation", decisions.TerminateCancelled)
 	for _, id := range decisions.RereadJobs {
 		d.add("refresh", id)
 	}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -50,8 +50,8 @@
 // machineTerminator terminates machines and releases the tasks that ended with them.
 type machineTerminator interface {
 	terminateMachine(m *cluster.Machine, reason terminateReason)
-	// requestTermination retries a termination call to the cloud that failed.
-	requestTermination(m *cluster.Machine)
+	// expediteTermination makes the termination of a machine independent of the key-value store.
+	expediteTermination(m *cluster.Machine)
 	removeMachine(m *cluster.Machine)
 	// releaseTasks releases the tasks of a machine on which no task runs any more.
 	releaseTasks(m *cluster.Machine)
@@ -101,13 +101,16 @@
 	var terminated []*cluster.Machine // removed after the loop, which iterates over the list that holds them
 	for _, m := range hm.cluster.Machines() {
 		hm.endQuarantine(m)
+		if hm.leaders.endTerminations(m) {
+			hm.rounds.MarkDue()
+		}
 		switch {
-		case m.Lifecycle.TerminateInFlight:
-		case m.Lifecycle.Terminating && m.Lifecycle.Terminated:
+		case m.Lifecycle.Terminated:
 			terminated = append(terminated, m)
 		case m.Lifecycle.Terminating:
-			hm.requestHeartbeat(m)
-			hm.registry.requestTermination(m)
+			if check.cancelOverdue(m) {
+				hm.registry.expediteTermination(m)
+			}
 		default:
 			hm.requestHeartbeat(m)
 			check.run(m)
--- a/scheduler/job_records.go
+++ b/scheduler/job_records.go
@@ -48,12 +48,13 @@
 	c.jobRecords.observe(id, record, revision)
 }
 
-// EnableSplitRecords allows records to be split. It must be called only once every controller can
-// read split slices. From then on, records that exceed the size limit of the key-value store are
-// split.
+// EnableSplitRecords allows records to be split, and terminations to be recorded. It must be called only
+// once every controller can read these records. From then on, records that exceed the size limit of the
+// key-value store are split.
 func (c *Core) EnableSplitRecords(now monotonic.Instant) {
 	c.clock.Set(now)
 	c.records.enableSplitting()
+	c.terminations.settings.enabled = true
 }
 
 // jobRecordReader processes the records of jobs and slices that are read from the key-value store.
--- a/scheduler/liveness.go
+++ b/scheduler/liveness.go
@@ -21,6 +21,7 @@
 type machineLiveness struct {
 	clock    *clock.Clock
 	settings healthSettings
+	leaders  *previousLeaders
 }
 
 // mostMissHeartbeats reports whether most of the machines that sent a heartbeat in this term have
@@ -59,9 +60,9 @@
 }
 
 // takesTasks reports whether new tasks may be placed on a machine, which must be usable and not
-// quarantined.
+// quarantined, and which no previous leader may terminate.
 func (l *machineLiveness) takesTasks(m *cluster.Machine) bool {
-	return l.usable(m) && l.clock.Now() >= m.Health.QuarantinedUntil
+	return l.usable(m) && l.clock.Now() >= m.Health.QuarantinedUntil && !l.leaders.mayTerminate(m)
 }
 
 // provenAlive reports whether it is certain that a machine's heartbeats are not all delayed
--- a/scheduler/machine_check_test.go
+++ b/scheduler/machine_check_test.go
@@ -52,7 +52,7 @@
 	for s := range 52 {
 		h.now = h.now.Add(time.Second)
 		h.heartbeat("n-1", "a", token, running)
-		if slices.Contains(h.step().Terminate, "n-1") {
+		if slices.Contains(h.step().TerminateCancelled, "n-1") {
 			if s < 10 {
 				t.Fatalf("terminated after %d s, before the agent had time to end the task", s)
 			}
--- a/scheduler/machine_registry.go
+++ b/scheduler/machine_registry.go
@@ -26,8 +26,8 @@
 	settings  registrySettings
 	// terminateCounts holds the number of terminated machines by reason, for the log.
 	terminateCounts map[terminateReason]int
-	// terminate and addressesToForget hold the decisions that takeDecisions has not returned yet.
-	terminate         []ids.MachineID
+	terminations    *terminationRecorder
+	// addressesToForget holds the decisions that takeDecisions has not returned yet.
 	addressesToForget []string
 }
 
@@ -57,12 +57,11 @@
 	}
 }
 
-// takeDecisions returns the machines to terminate and the addresses to forget since the last call,
-// and clears them.
-func (r *machineRegistry) takeDecisions() (terminate []ids.MachineID, forget []string) {
-	terminate, forget = r.terminate, r.addressesToForget
-	r.terminate, r.addressesToForget = nil, nil
-	return terminate, forget
+// takeDecisions returns the addresses to forget since the last call, and clears them.
+func (r *machineRegistry) takeDecisions() (forget []string) {
+	forget = r.addressesToForget
+	r.addressesToForget = nil
+	return forget
 }
 
 // setSite records a machine's site, and its agent's address unless that is "".
@@ -131,6 +130,8 @@
 	terminateCancelled        terminateReason = "cancelled"
 	terminateUnreachable      terminateReason = "unreachable"
 	terminateIdle             terminateReason = "idle"
+	// terminateRecorded means that an earlier leader decided the termination.
+	terminateRecorded terminateReason = "recorded"
 )
 
 // terminateMachine decides to terminate a machine. It does not wait for records in flight: tasks
@@ -138,21 +139,24 @@
 // machine must end before the cancel deadline.
 func (r *machineRegistry) terminateMachine(m *cluster.Machine, reason terminateReason) {
 	r.terminateCounts[reason]++
-	r.requestTermination(m)
-}
-
-// requestTermination decides to call the cloud to terminate a machine. It also retries after a
-// failed call.
-func (r *machineRegistry) requestTermination(m *cluster.Machine) {
-	m.Lifecycle.Terminating, m.Lifecycle.TerminateInFlight = true, true
-	r.terminate = append(r.terminate, m.ID)
+	m.Lifecycle.Terminating = true
+	if reason == terminateCancelled {
+		r.terminations.addExpedited(m.ID)
+	} else {
+		r.terminations.add(m.ID)
+	}
 	r.rounds.MarkDue()
 }
 
+// expediteTermination terminates a machine, which is being terminated for another reason, for a task of a
+// cancelled job as well, so that the termination does not wait for the key-value store.
+func (r *machineRegistry) expediteTermination(m *cluster.Machine) { r.terminations.expedite(m.ID) }
+
 // MachinesTerminated records the cloud's confirmation that machines, and all tasks on them, are
 // terminated.
 func (c *Core) MachinesTerminated(now monotonic.Instant, machines []ids.MachineID) {
 	c.clock.Set(now)
+	c.terminations.confirm(machines)
 	c.registry.recordTerminated(machines)
 }
 
@@ -160,7 +164,6 @@
 func (r *machineRegistry) recordTerminated(machines []ids.MachineID) {
 	for _, id := range machines {
 		if m := r.cluster.Machine(id); m != nil {
-			m.Lifecycle.TerminateInFlight = false
 			m.Lifecycle.Terminated = true
 			r.removeMachine(m)
 		}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -92,9 +92,9 @@
 	// MaxTxnOps is the maximum number of operations in one change, and MaxValueBytes the maximum
 	// size of the JSON form of each value. If MaxValueBytes is 0, there is no limit on the size.
 	MaxTxnOps, MaxValueBytes int
-	// SplitRecords reports whether every controller can read a slice that is split. See
-	// EnableSplitRecords.
-	SplitRecords bool
+	// SplitRecords reports whether every controller can read a slice that is split, and
+	// RecordTerminations whether it can read the records of terminations. See EnableSplitRecords.
+	SplitRecords, RecordTerminations bool
 	// SliceTasks is the number of tasks that share one admission record.
 	SliceTasks int
 	// LazyWriteDelay is how long the record of a task that ended may be delayed. Placements are
--- a/scheduler/previous_leaders.go
+++ b/scheduler/previous_leaders.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"ospreystile.example/ospreystile/ids"
@@ -19,6 +20,9 @@
 // agents that run them. So a leader acknowledges the cancellation of a job only once no previous
 // leader can keep one of the job's tasks running for longer than the cancel deadline.
 
+// terminationCallTimeout is how long the cloud may take to carry out a call after it was sent.
+const terminationCallTimeout = 10 * time.Second
+
 // CancelMargin returns how long a previous leader may continue to answer heartbeats after a
 // cancellation is acknowledged. The last lease that it renews must expire within cancel of the
 // acknowledgement. The margin is 0 if cancel is no longer than a lease.
@@ -28,7 +32,7 @@
 
 // previousLeaders bounds the time until which previous leaders may have received heartbeats that they
 // then answered, and determines which heartbeats this leader may answer. It modifies only its own
-// bounds, and Machine.Agent.HadReplicas when the term begins.
+// bounds, and Machine.Agent.HadReplicas and HadCancelledTask.
 type previousLeaders struct {
 	cluster  *cluster.State
 	clock    *clock.Clock
@@ -67,9 +71,15 @@
 	}
 	for _, m := range p.cluster.Machines() {
 		m.Agent.HadReplicas = m.HasRecordedReplica()
+		m.Agent.HadCancelledTask = holdsCancelledTask(m)
 	}
 }
 
+// holdsCancelledTask reports whether a task of a cancelled job is assigned to a machine.
+func holdsCancelledTask(m *cluster.Machine) bool {
+	return slices.ContainsFunc(m.Assignments(), func(a *cluster.Assignment) bool { return a.Job.Terminal() })
+}
+
 // end records that no previous leader answers any machine from now on.
 func (p *previousLeaders) end() {
 	now := p.clock.Now()
@@ -85,6 +95,37 @@
 	return p.othersAnsweredUntil
 }
 
+// mayTerminate reports whether a previous leader may still terminate a machine without having recorded that.
+// It does so only for a task of a cancelled job, and only while it may answer heartbeats. Its last call to the
+// cloud may take terminationCallTimeout.
+func (p *previousLeaders) mayTerminate(m *cluster.Machine) bool {
+	return m.Agent.HadCancelledTask && p.mayCallCloud()
+}
+
+// mayCallCloud reports whether a call of a previous leader to the cloud may still be carried out.
+func (p *previousLeaders) mayCallCloud() bool {
+	until := max(p.replicasAnsweredUntil, p.othersAnsweredUntil).Add(terminationCallTimeout)
+	return p.settings.exists && p.clock.Now() < until
+}
+
+// recordCancelled records that a machine holds a task of a job that was just cancelled. A previous leader may
+// observe the same cancellation.
+func (p *previousLeaders) recordCancelled(m *cluster.Machine) {
+	if p.mayCallCloud() {
+		m.Agent.HadCancelledTask = true
+	}
+}
+
+// endTerminations reports whether a machine may be used from now on, since no previous leader can terminate it
+// any more. It returns true once for each machine that a previous leader could terminate.
+func (p *previousLeaders) endTerminations(m *cluster.Machine) bool {
+	ended := m.Agent.HadCancelledTask && !p.mayTerminate(m)
+	if ended {
+		m.Agent.HadCancelledTask = false
+	}
+	return ended
+}
+
 // mayAnswer reports whether a machine's heartbeat may be answered. It uses only committed records,
 // since the next leader reads the same records. What a leader without the key-value store has decided
 // or observed is not recorded.
--- a/scheduler/record_outcomes.go
+++ b/scheduler/record_outcomes.go
@@ -44,7 +44,7 @@
 // CommitResult applies the result of a change. The result must be resolved.
 func (c *Core) CommitResult(now monotonic.Instant, result records.CommitResult) {
 	c.clock.Set(now)
-	if c.zones.applyResult(result) {
+	if c.zones.applyResult(result) || c.terminations.applyResult(result) {
 		return
 	}
 	c.records.handleResult(result)
--- a/scheduler/scenarios_test.go
+++ b/scheduler/scenarios_test.go
@@ -362,7 +362,13 @@
 // also while the store does not respond. The fault: another placement on the machine, whose record is
 // not committed yet, delays the termination until the end of a store outage.
 func TestTerminationDoesNotWaitForARecord(t *testing.T) {
-	h := newHarness(t, Options{})
+	for _, recorded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("terminations recorded: %v", recorded), func(t *testing.T) { checkTerminationWithoutRecord(t, recorded) })
+	}
+}
+
+func checkTerminationWithoutRecord(t *testing.T, recordTerminations bool) {
+	h := newHarness(t, Options{RecordOptions: RecordOptions{RecordTerminations: recordTerminations}})
 	spec := wire.JobSpec{Class: "c", Team: "red", Service: true, Tasks: 1, CPUs: 2, Image: "i"}
 	h.submit("job-1", spec)
 	h.heartbeat("n-1", "a", 0)
@@ -383,8 +389,8 @@
 		if h.now > cancelledAt.Add(simCancelDeadline*3/4) {
 			t.Fatal("the machine was not terminated in time")
 		}
-		if decisions := h.c.Step(h.now); len(decisions.Terminate) > 0 {
-			h.c.MachinesTerminated(h.now, decisions.Terminate)
+		if decisions := h.c.Step(h.now); len(decisions.TerminateCancelled) > 0 {
+			h.c.MachinesTerminated(h.now, decisions.TerminateCancelled)
 			terminated = true
 		}
 	}
@@ -395,8 +401,8 @@
 	h.c.CommitResult(h.now, records.CommitResult{Change: placed[0], Revision: 901})
 	for range 10 {
 		h.now = h.now.Add(200 * time.Millisecond)
-		if decisions := h.step(); len(decisions.Terminate) > 0 {
-			t.Errorf("machines were terminated again: %v", decisions.Terminate)
+		if decisions := h.step(); len(decisions.Terminate)+len(decisions.TerminateCancelled) > 0 {
+			t.Errorf("machines were terminated again: %v, %v", decisions.Terminate, decisions.TerminateCancelled)
 		}
 	}
 	if j := h.c.cluster.Job("job-2"); len(j.Pending()) != 1 || h.c.cluster.Machine("n-1") != nil {
--- a/scheduler/sim_controllers_test.go
+++ b/scheduler/sim_controllers_test.go
@@ -67,6 +67,10 @@
 		switch {
 		case strings.HasPrefix(k, records.ZonePrefix):
 			s.loadZoneRecord(k)
+		case strings.HasPrefix(k, records.TerminationPrefix):
+			var rec records.Termination
+			s.must(wire.Decode(s.store[k].value, &rec))
+			s.core.LoadTermination(&rec, s.store[k].revision)
 		case !isSlice && k != records.LeaderKey:
 			var rec records.Job
 			s.must(wire.Decode(s.store[k].value, &rec))
--- a/scheduler/sim_leader_test.go
+++ b/scheduler/sim_leader_test.go
@@ -34,7 +34,10 @@
 		l.provision(request)
 	}
 	if len(decisions.Terminate) > 0 {
-		l.terminate(decisions.Terminate)
+		l.terminate(decisions.Terminate, l.holdsLease)
+	}
+	if len(decisions.TerminateCancelled) > 0 {
+		l.terminate(decisions.TerminateCancelled, l.acts)
 	}
 }
 
@@ -94,16 +97,33 @@
 	})
 }
 
-// terminate has the cloud terminate machines, after an outage of the cloud has ended.
-func (l simLeader) terminate(machines []ids.MachineID) {
-	l.after(max(l.latency(), l.cloudOutageUntil.Sub(l.now)), func() {
+// holdsLease reports whether the leader holds its lease.
+func (l simLeader) holdsLease() bool { return l.sim.term == l.term && l.now < l.leaseValidUntil }
+
+// acts reports whether the leader may answer heartbeats.
+func (l simLeader) acts() bool { return l.sim.term == l.term || l.previousCore == l.core }
+
+// terminate has the cloud terminate machines, after an outage of the cloud has ended. The call is sent only
+// while the leader is authorized, and may arrive when it is not any more.
+func (l simLeader) terminate(machines []ids.MachineID, authorized func() bool) {
+	if !authorized() || l.now < l.cloudOutageUntil {
+		if l.acts() {
+			l.after(cloudRetryInterval, func() { l.terminate(machines, authorized) })
+		}
+		return
+	}
+	l.after(l.latency(), func() {
 		for _, machine := range machines {
+			l.checkTermination(l.workers[machine], l.core.opt.Revision)
 			delete(l.workers, machine)
 		}
 		l.deliver(func() { l.core.MachinesTerminated(l.now, machines) })
 	})
 }
 
+// cloudRetryInterval is the time after which a call to the cloud that was not executed is sent again.
+const cloudRetryInterval = time.Second
+
 // sendCommands sends a machine its pending commands.
 func (l simLeader) sendCommands(machine ids.MachineID) {
 	batch, _, ok := l.core.TakeCommands(l.now, machine)
--- a/scheduler/sim_rules_test.go
+++ b/scheduler/sim_rules_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// checkTermination checks that no machine is terminated by a leader after a later leader has started a task
+// there that still runs. w is nil if the machine does not exist any more.
+func (s *sim) checkTermination(w *simWorker, leaderRevision ids.Revision) {
+	if w == nil || s.leaseExpired(w) {
+		return
+	}
+	for _, t := range w.tasks {
+		if t.state != wire.TaskEnded && t.leaderRevision > leaderRevision {
+			s.recordViolation("termination: leader %d terminated %s, on which leader %d started %s", leaderRevision, w.id, t.leaderRevision, t.ref)
+		}
+	}
+}
+
 // running returns the placements of a job whose tasks run on a worker with a valid lease.
 func (s *sim) running(id ids.JobID) []simPlacement {
 	var out []simPlacement
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -119,10 +119,11 @@
 			MaxMachines:         20,
 		},
 		RecordOptions: RecordOptions{
-			MaxTxnOps:      8,
-			SliceTasks:     4,
-			LazyWriteDelay: 2 * time.Second,
-			WriteRate:      40,
+			MaxTxnOps:          8,
+			RecordTerminations: true,
+			SliceTasks:         4,
+			LazyWriteDelay:     2 * time.Second,
+			WriteRate:          40,
 		},
 		AdmissionOptions: AdmissionOptions{
 			MaxSkippedJobs:      100,
--- a/scheduler/sim_worker_test.go
+++ b/scheduler/sim_worker_test.go
@@ -24,6 +24,8 @@
 	attempt ids.Attempt
 	state   wire.TaskState
 	cause   wire.ExitCause
+	// leaderRevision is the revision of the leader that started the task.
+	leaderRevision ids.Revision
 }
 
 // simWorker simulates a machine and its agent. Faults: a partition, lost commands, lost heartbeats, a
@@ -92,7 +94,7 @@
 		case command.Verb == wire.VerbRun && i >= 0:
 			continue
 		case command.Verb == wire.VerbRun:
-			s.addTask(w, &simTask{ref: ref, attempt: command.Attempt, state: wire.TaskFetching})
+			s.addTask(w, &simTask{ref: ref, attempt: command.Attempt, state: wire.TaskFetching, leaderRevision: w.token.Revision()})
 		case command.Verb == wire.VerbKill && i >= 0 && w.tasks[i].state != wire.TaskEnded:
 			w.tasks[i].end(wire.CauseStopped)
 		case command.Verb == wire.VerbReap && i >= 0 && w.tasks[i].state == wire.TaskEnded:
--- a/scheduler/task_lifecycle.go
+++ b/scheduler/task_lifecycle.go
@@ -22,10 +22,14 @@
 	estimates runRecorder
 	slowness  runTimeComparer
 	failures  successRecorder
+	leaders   cancellationObserver
 	// lostWork holds the work of stopped and lost tasks by stop reason.
 	lostWork [cluster.StopDrained + 1]lostWorkCount
 }
 
+// cancellationObserver records that a machine holds a task of a job that was just cancelled.
+type cancellationObserver interface{ recordCancelled(m *cluster.Machine) }
+
 // taskRecords marks records of a job that must be written or deleted.
 type taskRecords interface {
 	markTaskDirty(j *cluster.Job, index int)
@@ -135,6 +139,7 @@
 	l.cluster.EndJob(j, status)
 	l.records.discardUnwritten(j)
 	for _, a := range j.Assignments() {
+		l.leaders.recordCancelled(a.Machine)
 		l.stop(a, cluster.StopCancelled)
 	}
 	l.records.markDeletable(j)
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -29,13 +29,14 @@
 	settings := cluster.Settings{SliceTasks: opt.SliceTasks, BootFactor: opt.BootFactor, ListLag: opt.ListLag}
 	c.cluster = cluster.NewState(settings, c.clock, c.rounds, c.quotas)
 	c.records = newRecordWriter(c.cluster, c.clock, c.rounds, newRecordSettings(opt))
+	c.terminations = newTerminationRecorder(c.clock, c.records, terminationSettings{enabled: opt.RecordTerminations, maxOperations: opt.MaxTxnOps})
 	c.registry = c.newRegistry()
 	c.autoscaler = newAutoscaler(autoscalerSettingsOf(&opt), c.cluster, c.clock, c.rounds)
 	c.zones = c.newZoneGate()
 
 	c.makeDispatch()
-	c.makeLifecycle()
 	c.makePreviousLeaders()
+	c.makeLifecycle()
 	c.makeHealth()
 	c.makeIntake()
 	c.makeAdmission()
@@ -57,6 +58,7 @@
 		rounds:          c.rounds,
 		settings:        registrySettings{previousLeader: c.opt.PreviousLeader, listLag: c.opt.ListLag},
 		terminateCounts: map[terminateReason]int{},
+		terminations:    c.terminations,
 	}
 }
 
@@ -102,6 +104,7 @@
 		estimates: c.estimates,
 		slowness:  c.slowness,
 		failures:  c.failures,
+		leaders:   c.previousLeaders,
 	}
 }
 
@@ -129,7 +132,7 @@
 		previousLeader:    c.opt.PreviousLeader,
 	}
 	c.health = &healthMonitor{
-		machineLiveness:   &machineLiveness{clock: c.clock, settings: settings},
+		machineLiveness:   &machineLiveness{clock: c.clock, settings: settings, leaders: c.previousLeaders},
 		partitionDetector: newPartitionDetector(c.cluster, c.clock, settings),
 		cluster:           c.cluster,
 		clock:             c.clock,
--- a/scheduler/zone_records.go
+++ b/scheduler/zone_records.go
@@ -12,7 +12,7 @@
 
 // zoneRecords writes the records of zones.
 type zoneRecords struct {
-	writer zoneRecordWriter
+	writer changeSubmitter
 	// maxBytes is the maximum size of a record. 0 means no limit.
 	maxBytes int
 	// inFlight holds the writes without a result, by the ID of their change.
@@ -25,8 +25,8 @@
 	deletes bool // whether the write deletes the record
 }
 
-// zoneRecordWriter submits changes within the write rate.
-type zoneRecordWriter interface {
+// changeSubmitter submits changes within the write rate.
+type changeSubmitter interface {
 	// mayWrite reports whether the write rate allows one more change now.
 	mayWrite() bool
 	// nextNonce returns the nonce of the next change.
