Read the list of all jobs in the background, and single jobs until it is complete

Cause: a controller answers from a replica of all jobs, and the first query after a start built it by listing all jobs within that query's 1.5 s. When the time was up, all pages were thrown away, and the next query began with the first one. Jobs are never deleted, so the list only grows.

Fix: a goroutine of its own reads the list, without a deadline; a page that fails is read again, and no page is read twice. Barrier reads follow all changes from the revision of the first page on. Until the list is complete, a job that it does not contain yet is read by itself, with the jobs on whose state its own depends, at most eight for a batch, and the next batch waits accordingly: pages and queries each keep to a fifth of state.rps. No answer is older than an earlier one, because such a read, too, is sent after the query, and what was read before the first page is not kept. The loader of a new leader repeats a page that fails for as long as the term lasts, where it ended the term.

A warning is logged at four fifths of the capacity; beyond it nothing is refused or evicted, which stays open.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -97,7 +97,7 @@
 	client := &leaderClient{localLeader: c.localLeader, election: c.election, peers: c.peers, log: log}
 	c.acknowledgements = &acknowledgements{localLeader: c.localLeader, leaderClient: client}
 	statusReadInterval := monotonic.Seconds(controllers / (statusReadShare * storeRPS))
-	c.statusReader = newStatusReader(c.userStore, statusReadInterval, client.progress)
+	c.statusReader = newStatusReader(c.userStore, statusReadInterval, client.progress, newJobCapacity(platform, log), log)
 	c.initRequestHandlers(client, clock)
 	c.initPeerHandlers(direct, clock)
 	return c
--- a/controller/leader/load.go
+++ b/controller/leader/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -10,6 +11,7 @@
 	"ospreystile.example/ospreystile/election"
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/kv"
+	"ospreystile.example/ospreystile/monotonic"
 	"ospreystile.example/ospreystile/records"
 	"ospreystile.example/ospreystile/scheduler"
 	"ospreystile.example/ospreystile/wire"
@@ -45,22 +47,51 @@
 	options.WallClockMS = time.Now().UnixMilli()
 	types, _ := l.Catalog.MachineTypes()
 	l.core = scheduler.New(options, types)
-	if l.revision, err = l.Store.List(ctx, records.JobPrefix, l.loadJob); err != nil {
+	if l.revision, err = l.list(ctx, records.JobPrefix, l.loadJob); err != nil {
 		return err
 	}
 	if err := l.loadZones(ctx); err != nil {
 		return err
 	}
-	if _, err := l.Store.List(ctx, records.AdmissionPrefix, l.loadAdmission); err != nil {
+	if _, err := l.list(ctx, records.AdmissionPrefix, l.loadAdmission); err != nil {
 		return err
 	}
-	if _, err := l.Store.List(ctx, records.TerminationPrefix, l.loadTermination); err != nil {
+	if _, err := l.list(ctx, records.TerminationPrefix, l.loadTermination); err != nil {
 		return err
 	}
 	l.core.Begin(l.Clock.Now())
 	return nil
 }
 
+// listRetryDelay is the delay before a page that could not be read is read again.
+const listRetryDelay = 200 * time.Millisecond
+
+// list calls each with every entry whose key has a prefix, and returns the revision of the first page. It reads
+// a page again that the key-value store did not return, until the term ends: if it began with the first page
+// again, a long list might never be read.
+func (l *loader) list(ctx context.Context, prefix string, each func(kv.Entry) error) (ids.Revision, error) {
+	pages := kv.NewPages(l.Store, prefix)
+	for !pages.Complete() {
+		page, err := pages.Next(ctx)
+		switch {
+		case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrIndeterminate):
+			l.Log.Debug("record list read failed", "prefix", prefix, "after", pages.LastKey(), "err", err)
+			if !monotonic.Sleep(ctx, listRetryDelay) {
+				return 0, err
+			}
+			continue
+		case err != nil:
+			return 0, err
+		}
+		for _, entry := range page.Entries {
+			if err := each(entry); err != nil {
+				return 0, err
+			}
+		}
+	}
+	return pages.FirstRevision(), nil
+}
+
 // ensureFleetRecord reports whether the fleet record already existed, which means that there was a
 // previous leader. If the record did not exist, ensureFleetRecord writes it.
 func (l *loader) ensureFleetRecord(ctx context.Context) (previousLeader bool, err error) {
@@ -98,7 +129,7 @@
 	if l.Operator.ZoneRecoveryPolicy == nil {
 		return nil
 	}
-	_, err := l.Store.List(ctx, records.ZonePrefix, l.loadZone)
+	_, err := l.list(ctx, records.ZonePrefix, l.loadZone)
 	return err
 }
 
--- a/controller/leader/load_test.go
+++ b/controller/leader/load_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"ospreystile.example/ospreystile/ids"
+	"ospreystile.example/ospreystile/internal/httpclient"
 	"ospreystile.example/ospreystile/internal/kvtest"
+	"ospreystile.example/ospreystile/kv"
 	"ospreystile.example/ospreystile/monotonic"
 	"ospreystile.example/ospreystile/records"
 	"ospreystile.example/ospreystile/scheduler"
@@ -102,3 +106,31 @@
 		}
 	}
 }
+
+// refusingTransport refuses the first requests for pages of lists.
+type refusingTransport struct {
+	kv.Transport
+	refusals int
+}
+
+func (r *refusingTransport) Do(ctx context.Context, method, path string, body []byte, timeout time.Duration) (int, []byte, error) {
+	if strings.HasPrefix(path, "/store?") && r.refusals > 0 {
+		r.refusals--
+		return http.StatusServiceUnavailable, nil, nil
+	}
+	return r.Transport.Do(ctx, method, path, body, timeout)
+}
+
+// A page that the key-value store does not return must be read again. If the term ended instead, and the next one
+// began with the first page again, a long list might never be read.
+func TestRecordsAreLoadedDespiteFailedReads(t *testing.T) {
+	server := kvtest.NewServer(kvtest.NewStore())
+	t.Cleanup(server.Close)
+	server.Put(records.FleetKey, 1)
+	server.Put(records.JobKey("job-1"), records.Job{Status: wire.JobQueued, Tasks: 1, Spec: &wire.JobSpec{Team: "red", Tasks: 1, CPUs: 1}})
+	dependencies := testDependencies(t, server.Address())
+	dependencies.Store = kv.New(&refusingTransport{Transport: httpclient.New(server.Address(), 4, 1<<20), refusals: 3}, 200)
+	if _, ok := loadCore(t, dependencies).Progress("job-1"); !ok {
+		t.Error("job-1 is not loaded")
+	}
+}
--- a/controller/status_benchmark_test.go
+++ b/controller/status_benchmark_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -27,15 +28,12 @@
 	return jobs
 }
 
-func (m memoryJobs) List(_ context.Context, _ string, each func(kv.Entry) error) (ids.Revision, error) {
-	for _, entry := range m {
-		if err := each(entry); err != nil {
-			return 0, err
-		}
-	}
-	return 7, nil
+func (m memoryJobs) ListPage(context.Context, string, string) (kv.Page, error) {
+	return kv.Page{Entries: m, Revision: 7}, nil
 }
 
+func (memoryJobs) Get(context.Context, string) (kv.Entry, bool, error) { return kv.Entry{}, false, nil }
+
 func (memoryJobs) Watch(context.Context, string, ids.Revision, time.Duration) (ids.Revision, []kv.Event, error) {
 	return 7, nil, nil
 }
@@ -45,7 +43,7 @@
 // BenchmarkStatusQueries measures concurrent status queries for queued jobs.
 func BenchmarkStatusQueries(b *testing.B) {
 	const jobs, queriesPerProcessor = 1000, 32
-	reader := newStatusReader(newMemoryJobs(jobs), 0, noProgress)
+	reader := newStatusReader(newMemoryJobs(jobs), 0, noProgress, new(jobCapacity), slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(b.Context())
 	var running errgroup.Group
 	running.Go(func() error { return reader.run(ctx) })
--- a/controller/status_reader.go
+++ b/controller/status_reader.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
 	"ospreystile.example/ospreystile/controller/peerapi"
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/internal/workqueue"
-	"ospreystile.example/ospreystile/monotonic"
+	"ospreystile.example/ospreystile/kv"
 )
 
 // maxQueuedQueries is the maximum number of queued queries.
@@ -41,14 +42,28 @@
 // progressSource returns the progress of each job, or nil if the progress is not known.
 type progressSource func(ctx context.Context, jobs []ids.JobID) []peerapi.JobProgress
 
+// idleRefreshInterval is the interval between two refreshes without a query. The key-value store keeps only
+// the last changes, and a replica that lacks one of them must be built again.
+const idleRefreshInterval = 10 * time.Second
+
+// maxJobReads is the maximum number of single jobs that are read for a batch of queries while the list of
+// all jobs is being read.
+const maxJobReads = 8
+
 // statusReader answers queries by barrier reads: it refreshes its replica of the jobs, and then answers
 // all queries that arrived before the refresh was sent. So the load on the key-value store does not grow
 // with the number of queries. Answers are linearizable: any status that another controller returned
 // before a query arrived was committed before the refresh was sent, so the replica contains it.
 //
+// After the start of the process the replica is built in the background, page by page (jobLister). In the
+// meantime queries about jobs that it does not contain are answered by reads of single jobs, as many as the
+// rate allows. These are as new as the query too.
+//
 // The method run owns the replica and all goroutines. Any goroutine may call query.
 type statusReader struct {
-	replica jobReplica
+	replica  *jobReplica
+	lister   *jobLister
+	capacity *jobCapacity
 	// minReadInterval is the minimum interval between two reads. It bounds the share of the
 	// key-value store's request rate that the status reads of all controllers use.
 	minReadInterval time.Duration
@@ -58,8 +73,9 @@
 }
 
 // newStatusReader returns a reader whose reads are at least minReadInterval apart.
-func newStatusReader(store jobStore, minReadInterval time.Duration, progress progressSource) *statusReader {
-	return &statusReader{replica: jobReplica{store: store}, minReadInterval: minReadInterval, progress: progress, queue: workqueue.New[statusQuery](maxQueuedQueries)}
+func newStatusReader(store jobStore, minReadInterval time.Duration, progress progressSource, capacity *jobCapacity, log *slog.Logger) *statusReader {
+	return &statusReader{replica: newJobReplica(store), lister: newJobLister(store, minReadInterval, log), capacity: capacity, minReadInterval: minReadInterval, progress: progress,
+		queue: workqueue.New[statusQuery](maxQueuedQueries)}
 }
 
 // query waits for the answer to one query. The error of the answer is errOverloaded, or an error of the
@@ -83,31 +99,79 @@
 	}
 }
 
-// run answers queries until the context ends. One read is in flight at a time. Queries that arrive in
-// the meantime wait for the next read.
+// run answers queries until the context ends. One read is in flight at a time, besides that of a page of the
+// list of all jobs. Queries that arrive in the meantime wait for the next read.
 func (r *statusReader) run(ctx context.Context) error {
-	var answering sync.WaitGroup
-	defer answering.Wait()
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { r.lister.run(ctx) })
+	idle := time.NewTicker(idleRefreshInterval)
+	defer idle.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case listed := <-r.lister.pages:
+			r.applyPage(listed)
+			continue
+		case <-idle.C:
+			// If it fails, the next query fails too, or a later refresh makes up for it.
+			_ = r.refresh(ctx)
+			continue
 		case <-r.queue.Added():
 		}
 		batch := r.queue.Take(maxQueuedQueries)
 		if len(batch) == 0 {
 			continue
 		}
-		if active := r.answerBatch(ctx, batch); len(active.queries) > 0 {
+		budget := &readBudget{remaining: maxJobReads}
+		if active := r.answerBatch(ctx, batch, budget); len(active.queries) > 0 {
 			// The leader may be slow to answer, and the next batch does not wait for it.
-			answering.Go(func() { r.answerActive(ctx, active) })
+			running.Go(func() { r.answerActive(ctx, active) })
 		}
-		if !monotonic.Sleep(ctx, r.minReadInterval) {
+		if !r.sleep(ctx, time.Duration(1+maxJobReads-budget.remaining)*r.minReadInterval) {
 			return ctx.Err()
 		}
 	}
 }
 
+// sleep waits for a duration and applies pages in the meantime. It returns false if the context ends first.
+func (r *statusReader) sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case listed := <-r.lister.pages:
+			r.applyPage(listed)
+		case <-timer.C:
+			return true
+		}
+	}
+}
+
+// applyPage applies a page to the replica, unless it belongs to a list that was given up.
+func (r *statusReader) applyPage(listed listedPage) {
+	if listed.list == r.lister.current() {
+		r.replica.applyPage(listed)
+		r.capacity.observe(len(r.replica.jobs))
+	}
+}
+
+// refresh refreshes the replica. If the store does not keep all changes any more that the replica lacks, the
+// list of all jobs is read again.
+func (r *statusReader) refresh(ctx context.Context) error {
+	err := r.replica.refresh(ctx)
+	if errors.Is(err, kv.ErrCompacted) {
+		r.replica = newJobReplica(r.replica.store)
+		r.lister.restart()
+		return nil
+	}
+	r.capacity.observe(len(r.replica.jobs))
+	return err
+}
+
 // activeQueries holds the queries of a batch about jobs that are neither done nor cancelled, the jobs,
 // and the answers without the jobs' progress. The elements with the same index belong together.
 type activeQueries struct {
@@ -118,18 +182,18 @@
 
 // answerBatch refreshes the replica and answers the queries of a batch, except those about active jobs.
 // It returns these unanswered, since only the leader knows the progress of active jobs.
-func (r *statusReader) answerBatch(ctx context.Context, batch []statusQuery) (active activeQueries) {
+func (r *statusReader) answerBatch(ctx context.Context, batch []statusQuery, budget *readBudget) (active activeQueries) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	if err := r.replica.refresh(ctx); err != nil {
+	if err := r.refresh(ctx); err != nil {
 		for _, query := range batch {
 			query.reply <- queryAnswer{err: err}
 		}
 		return activeQueries{}
 	}
 	for _, query := range batch {
-		answer := r.lookUp(query)
-		if !answer.found || answer.job.Status.Terminal() {
+		answer := r.lookUp(ctx, query, budget)
+		if answer.err != nil || !answer.found || answer.job.Status.Terminal() {
 			query.reply <- answer
 			continue
 		}
@@ -141,7 +205,12 @@
 }
 
 // lookUp returns the answer to a query from the replica, without the job's progress.
-func (r *statusReader) lookUp(query statusQuery) (answer queryAnswer) {
+func (r *statusReader) lookUp(ctx context.Context, query statusQuery, budget *readBudget) (answer queryAnswer) {
+	for _, id := range append([]ids.JobID{query.id}, query.dependsOn...) {
+		if err := r.replica.ensure(ctx, id, budget); err != nil {
+			return queryAnswer{err: err}
+		}
+	}
 	answer.job, answer.found = r.replica.get(query.id)
 	answer.dependenciesAccepted, answer.dependencyCancelled = r.replica.dependencyState(query.dependsOn)
 	return answer
--- a/controller/status_reader_test.go
+++ b/controller/status_reader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -16,10 +17,11 @@
 	"ospreystile.example/ospreystile/wire"
 )
 
-// newJobStore returns a store that retains the last 40 changes.
+// newJobStore returns a store that retains the last 40 changes, and lists seven jobs on a page.
 func newJobStore() *kvtest.Store {
 	store := kvtest.NewStore()
 	store.SetRetention(40)
+	store.SetPageSize(7)
 	return store
 }
 
@@ -35,7 +37,7 @@
 }
 
 func newTestReader(store jobStore) *statusReader {
-	return newStatusReader(store, 50*time.Millisecond, noProgress)
+	return newStatusReader(store, 50*time.Millisecond, noProgress, new(jobCapacity), slog.New(slog.DiscardHandler))
 }
 
 // freshnessTest holds the readers of two controllers over one store, and the newest answers of both.
--- a/internal/faulttest/deployment.go
+++ b/internal/faulttest/deployment.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"ospreystile.example/ospreystile/config"
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/internal/kvtest"
 	"ospreystile.example/ospreystile/wire"
@@ -34,6 +35,12 @@
 	Boot:              time.Second,
 }
 
+// defaultRAMMB is the memory that the settings of all deployments grant to each controller, in megabytes.
+const defaultRAMMB = 200
+
+// defaultKVLimits are the limits of the key-value store in the settings of all deployments.
+var defaultKVLimits = config.Limits{RPS: 2000, WriteRPS: 800, ValueKB: 8, TxnOps: 32}
+
 // Deployment is a whole deployment on loopback: real controller processes and fakes of everything
 // else. It is safe for concurrent use, except that only one goroutine at a time may start or kill a
 // given controller.
@@ -45,8 +52,10 @@
 	History     *History
 	Controllers []*Controller
 
-	zones   []ids.Zone
-	workers workerEnvironment
+	zones    []ids.Zone
+	kvLimits config.Limits
+	ramMB    float64 // memory granted to each controller
+	workers  workerEnvironment
 
 	mu          sync.Mutex
 	partitioned map[ids.Zone]bool
@@ -55,7 +64,7 @@
 // NewDeployment starts the fakes and writes the controllers' settings files to the directory. It
 // does not start the controllers. capacity is the number of machines per zone.
 func NewDeployment(directory string, zones []ids.Zone, capacity, controllers int) (*Deployment, error) {
-	d := &Deployment{Timing: defaultTiming, History: NewHistory(), zones: zones, partitioned: map[ids.Zone]bool{}}
+	d := &Deployment{Timing: defaultTiming, History: NewHistory(), zones: zones, kvLimits: defaultKVLimits, ramMB: defaultRAMMB, partitioned: map[ids.Zone]bool{}}
 	if err := d.addControllers(directory, controllers); err != nil {
 		return nil, err
 	}
--- a/internal/faulttest/harness_test.go
+++ b/internal/faulttest/harness_test.go
@@ -34,7 +34,7 @@
 )
 
 // buildProgram builds the program and reads its start command from deploy/service.toml.
-func buildProgram(t *testing.T) Program {
+func buildProgram(t testing.TB) Program {
 	t.Helper()
 	raw, err := os.ReadFile(filepath.Join(repositoryRoot, "deploy/service.toml"))
 	if err != nil {
--- a/internal/faulttest/settings.go
+++ b/internal/faulttest/settings.go
@@ -46,9 +46,9 @@
 			LeaseS:             d.Timing.Lease.Seconds(),
 			CancelDeadlineS:    4 * d.Timing.Lease.Seconds(),
 		},
-		KV:        config.KVLimits{Limits: config.Limits{RPS: 2000, WriteRPS: 800, ValueKB: 8, TxnOps: 32}},
+		KV:        config.KVLimits{Limits: d.kvLimits},
 		Cloud:     config.CloudSettings{RPS: 50, ListLagS: 0.5},
-		Resources: config.Resources{CPUShare: 1, RAMMB: 200, Sockets: 1500},
+		Resources: config.Resources{CPUShare: 1, RAMMB: d.ramMB, Sockets: 1500},
 	}
 	for _, team := range []ids.Team{"archive", "maps"} {
 		settings.Teams = append(settings.Teams, config.Team{Name: team, CPUs: 64, CPUsMax: 400})
--- a/internal/kvtest/client.go
+++ b/internal/kvtest/client.go
@@ -96,6 +96,15 @@
 	return revision, err
 }
 
+// ListPage calls Store.ListPage.
+func (c *Client) ListPage(ctx context.Context, prefix, after string) (page kv.Page, err error) {
+	err = c.call(func() error {
+		page, err = c.store.ListPage(ctx, prefix, after)
+		return err
+	})
+	return page, err
+}
+
 // Commit calls Store.Commit. If the response is lost, it returns only after responseTimeout.
 func (c *Client) Commit(ctx context.Context, txn kv.Txn) (result kv.TxnResult, err error) {
 	err = c.call(func() error {
--- a/internal/kvtest/server.go
+++ b/internal/kvtest/server.go
@@ -144,13 +144,6 @@
 	}
 }
 
-// listResponse is the response to a list request. It holds one page.
-type listResponse struct {
-	Entries  []kv.Entry   `msgpack:"entries"`
-	More     bool         `msgpack:"hasNext"`
-	Revision ids.Revision `msgpack:"epoch"`
-}
-
 func (h handler) list(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	size, err := strconv.Atoi(query.Get("page"))
@@ -158,22 +151,11 @@
 		respond(w, http.StatusBadRequest, errorResponse{err.Error()})
 		return
 	}
-	entries, revision, err := h.store.snapshot(query.Get("prefix"))
+	page, err := h.store.page(query.Get("prefix"), query.Get("since"), size)
 	if err != nil {
 		respondError(w, err)
 		return
 	}
-	page := listResponse{Revision: revision}
-	for _, entry := range entries {
-		if entry.Key <= query.Get("since") {
-			continue
-		}
-		if len(page.Entries) == size {
-			page.More = true
-			break
-		}
-		page.Entries = append(page.Entries, entry)
-	}
 	respond(w, http.StatusOK, page)
 }
 
--- a/internal/kvtest/store.go
+++ b/internal/kvtest/store.go
@@ -12,6 +12,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -32,8 +33,12 @@
 	retention ids.Revision
 	// maxWatchWait limits how long a watch waits for changes; 0 means no limit.
 	maxWatchWait time.Duration
-	leases       map[ids.LeaseID]*lease
-	lastLease    ids.LeaseID
+	// sortedKeys holds the keys of entries in order, or is nil if it must be derived again.
+	sortedKeys []string
+	// pageSize is the maximum number of entries on a page of ListPage; 0 means no limit.
+	pageSize  int
+	leases    map[ids.LeaseID]*lease
+	lastLease ids.LeaseID
 	// changed is closed and replaced when open watches must check for changes again.
 	changed chan struct{}
 	outage  bool
@@ -78,30 +83,60 @@
 // List calls each for all entries whose keys have the prefix, in key order, and returns the store's
 // revision. It stops at the first error of each.
 func (s *Store) List(_ context.Context, prefix string, each func(kv.Entry) error) (ids.Revision, error) {
-	entries, revision, err := s.snapshot(prefix)
+	page, err := s.page(prefix, "", 0)
 	if err != nil {
 		return 0, err
 	}
-	for _, entry := range entries {
+	for _, entry := range page.Entries {
 		if err := each(entry); err != nil {
 			return 0, err
 		}
 	}
-	return revision, nil
+	return page.Revision, nil
 }
 
-// snapshot returns the entries whose keys have the prefix, in key order, and the revision.
-func (s *Store) snapshot(prefix string) (entries []kv.Entry, revision ids.Revision, err error) {
+// SetPageSize sets the maximum number of entries on the pages that ListPage returns. 0 means no limit.
+func (s *Store) SetPageSize(size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize = size
+}
+
+// ListPage returns the page of the entries whose keys have the prefix that follows the key after.
+func (s *Store) ListPage(_ context.Context, prefix, after string) (kv.Page, error) {
+	s.mu.Lock()
+	size := s.pageSize
+	s.mu.Unlock()
+	return s.page(prefix, after, size)
+}
+
+// page returns a page of at most size entries. A size of 0 means no limit.
+func (s *Store) page(prefix, after string, size int) (page kv.Page, err error) {
 	err = s.request(func() error {
-		revision = s.revision
-		for _, key := range slices.Sorted(maps.Keys(s.entries)) {
-			if strings.HasPrefix(key, prefix) {
-				entries = append(entries, s.entries[key])
+		page.Revision = s.revision
+		keys := s.keysInOrder()
+		first := sort.Search(len(keys), func(i int) bool { return keys[i] >= prefix && keys[i] > after })
+		for _, key := range keys[first:] {
+			if !strings.HasPrefix(key, prefix) {
+				break
+			}
+			if size > 0 && len(page.Entries) == size {
+				page.More = true
+				break
 			}
+			page.Entries = append(page.Entries, s.entries[key])
 		}
 		return nil
 	})
-	return entries, revision, err
+	return page, err
+}
+
+// keysInOrder returns all keys, sorted. The caller holds the lock.
+func (s *Store) keysInOrder() []string {
+	if s.sortedKeys == nil {
+		s.sortedKeys = slices.Sorted(maps.Keys(s.entries))
+	}
+	return s.sortedKeys
 }
 
 // Commit applies a transaction, subject to the fault set with SetCommitFault.
@@ -180,6 +215,9 @@
 // write puts a key at the current revision.
 func (s *Store) write(key string, value any, lease ids.LeaseID) {
 	entry := kv.Entry{Key: key, Value: wire.Encode(value), Revision: s.revision, Lease: lease}
+	if _, exists := s.entries[key]; !exists {
+		s.sortedKeys = nil
+	}
 	s.entries[key] = entry
 	s.record(kv.Event{PutKey: key, Value: entry.Value, Revision: s.revision})
 }
@@ -187,6 +225,7 @@
 // remove deletes a key at the current revision.
 func (s *Store) remove(key string) {
 	delete(s.entries, key)
+	s.sortedKeys = nil
 	s.record(kv.Event{DeletedKey: key, Revision: s.revision})
 }
 
--- a/kv/client.go
+++ b/kv/client.go
@@ -84,26 +84,27 @@
 // first error of each and returns it. It returns the revision of the first page, so that a watch
 // from there misses no change.
 func (c *Client) List(ctx context.Context, prefix string, each func(Entry) error) (ids.Revision, error) {
-	var firstRevision ids.Revision
-	after := ""
-	for {
-		var page listPage
-		if err := c.doOK(ctx, listRequest(prefix, after), &page); err != nil {
+	pages := NewPages(c, prefix)
+	for !pages.Complete() {
+		page, err := pages.Next(ctx)
+		if err != nil {
 			return 0, err
 		}
-		if firstRevision == 0 {
-			firstRevision = page.Revision
-		}
 		for _, entry := range page.Entries {
 			if err := each(entry); err != nil {
 				return 0, err
 			}
-			after = entry.Key
-		}
-		if !page.More || len(page.Entries) == 0 {
-			return firstRevision, nil
 		}
 	}
+	return pages.FirstRevision(), nil
+}
+
+// ListPage returns the page of the entries whose keys have a prefix that follows the key after, or the
+// first page if after is "". Entries are in the order of keys.
+func (c *Client) ListPage(ctx context.Context, prefix, after string) (Page, error) {
+	var page Page
+	err := c.doOK(ctx, listRequest(prefix, after), &page)
+	return page, err
 }
 
 // Commit sends one transaction. The result is definite if the error is nil.
--- a/kv/requests.go
+++ b/kv/requests.go
@@ -14,13 +14,6 @@
 // listPageSize is the number of entries in a page of a list.
 const listPageSize = 1000
 
-// listPage holds a page of a list. More reports whether another page follows.
-type listPage struct {
-	Entries  []Entry      `msgpack:"entries"`
-	More     bool         `msgpack:"hasNext"`
-	Revision ids.Revision `msgpack:"epoch"`
-}
-
 // commitResponse is the response to a transaction.
 type commitResponse struct {
 	Revision   ids.Revision `msgpack:"epoch"`
