A controller that reaches neither the store nor a peer gives its users away

Seen by callers: a controller is cut from the store and the other controllers, but not from users.

Cause: the health check asked only whether the catalog is known, and a 503 left the connection open. The load balancer looks at nothing else.

The fault test reaches the store and the peers through links that can be cut.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -33,6 +33,7 @@
 	"ospreystile.example/ospreystile/kv"
 	"ospreystile.example/ospreystile/monotonic"
 	"ospreystile.example/ospreystile/peerrpc"
+	"ospreystile.example/ospreystile/records"
 	"ospreystile.example/ospreystile/records/commit"
 	"ospreystile.example/ospreystile/server"
 	"ospreystile.example/ospreystile/worker"
@@ -50,6 +51,9 @@
 	catalog     *catalog
 	gate        *versionGate
 	storeHealth *storeHealth
+	// directStore is a client of the key-value store that never calls it through a peer, without a
+	// request budget.
+	directStore *kv.Client
 	// userStore is the client of the key-value store for users' requests. It calls the store
 	// through a peer while this controller cannot reach the store and a peer can.
 	userStore        *kv.Client
@@ -58,6 +62,7 @@
 	commits          *userCommitter
 	balancer         *connectionBalancer
 	relay            *heartbeatRelay
+	availability     *availability
 	pinger           *pinger
 	service          service
 	peerHandler      *peerHandler
@@ -93,7 +98,8 @@
 	leadership := &leadership{localLeader: c.localLeader, dependencies: leader.Dependencies{Platform: platform, Operator: operator,
 		Clock: clock, Log: log, Store: leaderStore, Cloud: cloudClient, Workers: worker.New(), Catalog: c.catalog,
 		VersionGate: c.gate, Peers: c.peers.leaderPeers()}}
-	c.election = election.New(leaderStore.Unthrottled(), identity(platform), leaseBounds(platform, operator), clock, log, leadership.lead)
+	c.directStore = leaderStore.Unthrottled()
+	c.election = election.New(c.directStore, identity(platform), leaseBounds(platform, operator), clock, log, leadership.lead)
 	client := &leaderClient{localLeader: c.localLeader, election: c.election, peers: c.peers, log: log}
 	c.acknowledgements = &acknowledgements{localLeader: c.localLeader, leaderClient: client}
 	statusReadInterval := monotonic.Seconds(controllers / (statusReadShare * storeRPS))
@@ -130,7 +136,9 @@
 	maxValueBytes := settings.MaxValueBytes(c.platform)
 	c.balancer = newConnectionBalancer(monotonic.Seconds(balancerWindowIntervals * c.platform.Settings.Workers.HeartbeatIntervalS))
 	c.relay = newHeartbeatRelay(client, c.platform.Settings.Resources.Sockets, c.log)
+	c.availability = &availability{clock: clock, health: c.storeHealth, peers: c.peers, probe: c.probeStore, log: c.log}
 	c.service = service{
+		availability: c.availability, catalog: c.catalog,
 		submissionHandler: &submissionHandler{teams: c.platform.Settings.Teams, maxValueBytes: maxValueBytes, catalog: c.catalog,
 			statuses: statuses, terminal: terminal, gate: c.gate, commits: c.commits, leaderClient: client, log: c.log},
 		statusHandler:       statuses,
@@ -140,6 +148,11 @@
 	}
 }
 
+// probeStore sends a request to the key-value store, whose result storeHealth observes.
+func (c *Controller) probeStore(ctx context.Context) {
+	_, _, _ = c.directStore.Get(ctx, records.LeaderKey)
+}
+
 // initPeerHandlers creates the components that communicate with the other controllers.
 func (c *Controller) initPeerHandlers(direct *directRoute, clock monotonic.Clock) {
 	c.pinger = &pinger{self: c.platform.HostName, clock: clock, startedAt: clock.Now(), election: c.election, peers: c.peers,
@@ -198,6 +211,7 @@
 	group.Go(func() error { return c.commits.run(ctx) })
 	group.Go(func() error { return c.statusReader.run(ctx) })
 	group.Go(func() error { return c.relay.run(ctx) })
+	group.Go(func() error { return c.availability.run(ctx) })
 	group.Go(func() error { return c.catalog.run(ctx) })
 	group.Go(func() error { return c.catalog.runRecorded(ctx) })
 	group.Go(func() error { return c.gate.run(ctx) })
--- a/controller/service.go
+++ b/controller/service.go
@@ -12,10 +12,18 @@
 	*statusHandler
 	*cancellationHandler
 	*heartbeatHandler
+	*availability
+	catalog *catalog
 }
 
 var _ server.Service = service{}
 
+// Healthy implements server.Service. A controller without the catalog cannot validate submissions.
+func (s service) Healthy() bool {
+	_, ok := s.catalog.MachineTypes()
+	return ok && s.available()
+}
+
 const (
 	// retryDelay is the delay after which users should retry a request that could not be answered.
 	retryDelay = time.Second
--- a/controller/submissions.go
+++ b/controller/submissions.go
@@ -37,13 +37,6 @@
 	log           *slog.Logger
 }
 
-// Healthy implements server.Service. A controller without the catalog cannot validate
-// submissions.
-func (h *submissionHandler) Healthy() bool {
-	_, ok := h.catalog.MachineTypes()
-	return ok
-}
-
 // Submit implements server.Service. It retains the specification and may modify it.
 func (h *submissionHandler) Submit(ctx context.Context, id ids.JobID, spec *wire.JobSpec) server.Response {
 	if response, ok := h.terminal.cached(id); ok {
--- a/internal/faulttest/controller.go
+++ b/internal/faulttest/controller.go
@@ -23,12 +23,26 @@
 	apiAddress   string
 	peerAddress  string
 	settingsPath string
+	links        map[string]*link // to the key-value store and the peers, by address
 
 	log     *os.File
 	process *exec.Cmd     // nil while the process does not run
 	exited  chan struct{} // closed when the process has exited
 }
 
+// linkTo returns the address of the controller's link to an address, and starts the link if there is none.
+func (c *Controller) linkTo(target string) (string, error) {
+	if existing := c.links[target]; existing != nil {
+		return existing.address(), nil
+	}
+	started, err := newLink(target)
+	if err != nil {
+		return "", fmt.Errorf("link %s to %s: %w", c.Name, target, err)
+	}
+	c.links[target] = started
+	return started.address(), nil
+}
+
 // Start starts the controller process. Its log is appended to that of previous processes.
 func (c *Controller) Start(program Program) error {
 	if c.process != nil {
@@ -70,9 +84,12 @@
 	c.process = nil
 }
 
-// Close kills the process and closes the log file.
+// Close kills the process, and closes the links and the log file.
 func (c *Controller) Close() error {
 	c.Kill()
+	for _, l := range c.links {
+		l.close()
+	}
 	if c.log == nil {
 		return nil
 	}
--- a/internal/faulttest/deployment.go
+++ b/internal/faulttest/deployment.go
@@ -97,6 +97,7 @@
 			apiAddress:   api,
 			peerAddress:  peer,
 			settingsPath: filepath.Join(directory, name+".toml"),
+			links:        map[string]*link{},
 		})
 	}
 	return nil
@@ -144,6 +145,24 @@
 	}
 }
 
+// IsolateController cuts a controller from the key-value store and from its peers, but not from users, workers and
+// the cloud.
+func (d *Deployment) IsolateController(c *Controller) { d.setIsolated(c, true) }
+
+// ReconnectController ends the isolation of a controller.
+func (d *Deployment) ReconnectController(c *Controller) { d.setIsolated(c, false) }
+
+// setIsolated sets whether the links of a controller, and those of the others to it, are cut.
+func (d *Deployment) setIsolated(isolated *Controller, cut bool) {
+	for _, c := range d.Controllers {
+		for target, l := range c.links {
+			if c == isolated || target == isolated.peerAddress {
+				l.setCut(cut)
+			}
+		}
+	}
+}
+
 // setPartitioned sets whether workers that start in the zone are partitioned.
 func (d *Deployment) setPartitioned(zone ids.Zone, partitioned bool) {
 	d.mu.Lock()
--- a/internal/faulttest/harness_test.go
+++ b/internal/faulttest/harness_test.go
@@ -176,13 +176,20 @@
 
 // restartController kills the controller with the given name and starts it again.
 func (z *zoneTest) restartController(name ids.ControllerName) {
+	z.t.Helper()
+	c := z.controllerNamed(name)
+	c.Kill()
+	z.requireNoError(c.Start(z.program))
+}
+
+// controllerNamed returns the controller with the given name.
+func (z *zoneTest) controllerNamed(name ids.ControllerName) *Controller {
 	z.t.Helper()
 	i := slices.IndexFunc(z.Controllers, func(c *Controller) bool { return c.Name == name })
 	if i < 0 {
 		z.t.Fatalf("no controller named %q", name)
 	}
-	z.Controllers[i].Kill()
-	z.requireNoError(z.Controllers[i].Start(z.program))
+	return z.Controllers[i]
 }
 
 // countRunning returns the number of running tasks of the job in all zones.
--- a/internal/faulttest/settings.go
+++ b/internal/faulttest/settings.go
@@ -12,29 +12,43 @@
 
 // writeSettings writes the platform settings file of the controller.
 func (d *Deployment) writeSettings(c *Controller) error {
-	raw, err := toml.Marshal(d.controllerSettings(c))
+	settings, err := d.controllerSettings(c)
+	if err != nil {
+		return err
+	}
+	raw, err := toml.Marshal(settings)
 	if err != nil {
 		return fmt.Errorf("encode settings of %s: %w", c.Name, err)
 	}
 	return os.WriteFile(c.settingsPath, raw, 0o600)
 }
 
-// controllerSettings returns the platform settings of the controller.
-func (d *Deployment) controllerSettings(c *Controller) config.Platform {
+// controllerSettings returns the platform settings of the controller, which reaches the key-value store and its
+// peers through links.
+func (d *Deployment) controllerSettings(c *Controller) (config.Platform, error) {
+	kvAddress, err := c.linkTo(d.KV.Address())
+	if err != nil {
+		return config.Platform{}, err
+	}
 	platform := config.Platform{
 		HostName: c.Name,
 		Location: d.zones[0],
 		APIAddr:  c.apiAddress,
 		PeerAddr: c.peerAddress,
-		External: config.External{Cloud: d.Cloud.Address(), KV: d.KV.Address()},
+		External: config.External{Cloud: d.Cloud.Address(), KV: kvAddress},
 		Settings: d.sharedSettings(),
 	}
 	for _, peer := range d.Controllers {
-		if peer != c {
-			platform.Seeds = append(platform.Seeds, config.Peer{Name: peer.Name, Address: peer.peerAddress})
+		if peer == c {
+			continue
+		}
+		address, err := c.linkTo(peer.peerAddress)
+		if err != nil {
+			return config.Platform{}, err
 		}
+		platform.Seeds = append(platform.Seeds, config.Peer{Name: peer.Name, Address: address})
 	}
-	return platform
+	return platform, nil
 }
 
 // sharedSettings returns the settings that are the same for all controllers.
--- a/server/golden_test.go
+++ b/server/golden_test.go
@@ -42,6 +42,7 @@
 	return s.record("heartbeat", fmt.Sprintf("%x", raw), r.Machine, r.Incarnation)
 }
 func (s *scriptedService) Healthy() bool { return s.healthy }
+func (*scriptedService) Draining() bool  { return false }
 
 // The methods and paths of the routes are part of the protocol. A change of one breaks clients and
 // workers.
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -75,18 +75,27 @@
 		h.log.Debug("submission rejected", "err", err)
 		return send(c, Response{Status: fiber.StatusBadRequest})
 	}
-	return send(c, h.service.Submit(c.Context(), id, spec))
+	return h.sendToUser(c, h.service.Submit(c.Context(), id, spec))
+}
+
+// sendToUser sends the response to a user's request. While the controller drains its connections, a request that
+// it cannot serve ends its connection.
+func (h *handlers) sendToUser(c fiber.Ctx, response Response) error {
+	if response.Status == fiber.StatusServiceUnavailable && h.service.Draining() {
+		response.Close = true
+	}
+	return send(c, response)
 }
 
 // jobHandler returns a handler for requests about the job in their path. Jobs with an invalid ID
 // are never accepted, so the response for such an ID is 404.
-func jobHandler(call func(context.Context, ids.JobID) Response) fiber.Handler {
+func (h *handlers) jobHandler(call func(context.Context, ids.JobID) Response) fiber.Handler {
 	return func(c fiber.Ctx) error {
 		id := ids.JobID(strings.Clone(c.Params("id"))) // the framework reuses the parameter's memory
 		if !wire.ValidJobID(id) {
 			return send(c, Response{Status: fiber.StatusNotFound})
 		}
-		return send(c, call(c.Context(), id))
+		return h.sendToUser(c, call(c.Context(), id))
 	}
 }
 
--- a/server/handlers_test.go
+++ b/server/handlers_test.go
@@ -17,7 +17,7 @@
 )
 
 // fakeService returns a fixed response to each kind of request.
-type fakeService struct{ healthy bool }
+type fakeService struct{ healthy, draining bool }
 
 func (*fakeService) Submit(_ context.Context, id ids.JobID, _ *wire.JobSpec) Response {
 	return Response{Status: 201, Body: wire.JobStatus{ID: id, Status: wire.JobQueued}}
@@ -38,7 +38,8 @@
 	return Response{Status: 421, Body: wire.Redirect{Target: "n-1"}}
 }
 
-func (f *fakeService) Healthy() bool { return f.healthy }
+func (f *fakeService) Healthy() bool  { return f.healthy }
+func (f *fakeService) Draining() bool { return f.draining }
 
 // newApp returns the application of a service, without logs.
 func newApp(service Service, limits Limits) *fiber.App {
--- a/server/server.go
+++ b/server/server.go
@@ -50,8 +50,8 @@
 	app.Use(h.recoverPanic)
 	app.Get("/up", h.health)
 	app.Post("/api/jobs", h.submit)
-	app.Get("/api/jobs/:id", jobHandler(service.Status))
-	app.Post("/api/jobs/:id/withdraw", jobHandler(service.Cancel))
+	app.Get("/api/jobs/:id", h.jobHandler(service.Status))
+	app.Post("/api/jobs/:id/withdraw", h.jobHandler(service.Cancel))
 	app.Post("/hello", h.heartbeat)
 	return app
 }
--- a/server/service.go
+++ b/server/service.go
@@ -19,6 +19,9 @@
 	Heartbeat(ctx context.Context, raw []byte, heartbeat *wire.Heartbeat) Response
 	// Healthy reports whether the controller can serve requests.
 	Healthy() bool
+	// Draining reports whether connections should be closed after a response of 503, because the
+	// load balancer sends new ones to other controllers.
+	Draining() bool
 }
 
 // Response is the response of a service to a request.
