Count the bounds of previous leaders, and of cancellations, across terms

Seen by callers: a zone is cut off with its controller and its machines, a service there is cancelled, and the leader ends every 15 s.

Cause: each new leader counted from the start of its own term both the 45 s for which it may have to wait for the isolated leader before it acknowledges, and the 45% of cancel_s after which it terminates a machine. With terms shorter than that neither ever ended.

Evidence: TestCancellationIsAcknowledgedAcrossFailovers with terms of 5, 15 and 25 s. With both times counted from the term, as before, it failed: cancellations were not acknowledged within 70 s.

Fix: a leader records its term under terms/, fenced, before it acts, and in the same transaction since when the others are superseded. Later leaders count the bound of each controller from then, less the skew of the clocks. That is safe since the isolated leader counts from its last certain lease, which ended before any later leader was elected. A controller's bound also ends as soon as that controller follows, where all of them had to. Until the version gate is open, or without any record, the bounds count from the term as before. The job's record says when it was cancelled; a machine still has the time of one late heartbeat to a new leader.

The simulations ended an isolated leader with the next failover; half of them now let it outlive later ones.

TestFollowersConfirmedRequiresAllPeers also checks the new event for each peer.

--- a/controller/cancellations.go
+++ b/controller/cancellations.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"ospreystile.example/ospreystile/controller/leader"
 	"ospreystile.example/ospreystile/ids"
@@ -50,7 +51,9 @@
 	case job.Record.Terminal():
 		return h.terminal.answer(ctx, id, snapshotOf(job.Record, job.Revision)), true
 	}
-	result := h.commits.commit(ctx, records.CancelJobChange(id, job.Revision, rand.Uint64(), *job.Record, h.maxValueBytes))
+	record := *job.Record
+	record.DoneMS = time.Now().UnixMilli()
+	result := h.commits.commit(ctx, records.CancelJobChange(id, job.Revision, rand.Uint64(), record, h.maxValueBytes))
 	switch {
 	case errors.Is(result.Err, records.ErrRejected):
 		return server.RetryLater(rejectedRetryDelay), true
--- a/controller/leader/catalog_recorder_test.go
+++ b/controller/leader/catalog_recorder_test.go
@@ -22,14 +22,11 @@
 // A leader that waited for the cloud's catalog before it loads the records would hold its lease without
 // answering heartbeats, for as long as the cloud does not answer.
 func TestLeaderLoadsWithoutTheCatalog(t *testing.T) {
-	server := kvtest.NewServer(kvtest.NewStore())
-	t.Cleanup(server.Close)
-	server.Put(records.FleetKey, 1)
-	dependencies := testDependencies(t, server.Address())
+	dependencies := testDependencies(t, startLedStore(t).Address())
 	dependencies.Catalog = unknownCatalog{}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	recordLoader := &loader{Dependencies: dependencies, term: testTerm(5)}
+	recordLoader := &loader{Dependencies: dependencies, term: testTerm(testRevision)}
 	if err := recordLoader.load(ctx); err != nil {
 		t.Fatalf("load records: %v", err)
 	}
--- a/controller/leader/events.go
+++ b/controller/leader/events.go
@@ -91,6 +91,13 @@
 
 func (e watchAdvanced) applyTo(loop *eventLoop) { loop.observedRevision = e.revision }
 
+// followerConfirmed represents the confirmation that one other controller follows this leader.
+type followerConfirmed struct{ controller ids.ControllerName }
+
+func (e followerConfirmed) applyTo(loop *eventLoop) {
+	loop.core.ControllerFollows(loop.clock.Now(), e.controller)
+}
+
 // followersConfirmed represents the confirmation that every other controller follows this leader.
 type followersConfirmed struct{}
 
--- a/controller/leader/leader.go
+++ b/controller/leader/leader.go
@@ -52,6 +52,8 @@
 
 // Peer represents another controller and its state as of its last ping. It is safe for concurrent use.
 type Peer interface {
+	// Controller returns the name of the peer.
+	Controller() ids.ControllerName
 	// FollowedRevision returns the revision of the leader that the peer follows.
 	FollowedRevision() ids.Revision
 	// AnsweredWithin reports whether the peer answered a ping within d before now.
--- a/controller/leader/leader_test.go
+++ b/controller/leader/leader_test.go
@@ -31,7 +31,12 @@
 func (*testVersionGate) Load(context.Context, *kv.Client) error { return nil }
 
 // testPeer is a Peer that follows the leader of a given revision and has never answered a ping.
-type testPeer struct{ followed atomic.Uint64 }
+type testPeer struct {
+	name     ids.ControllerName
+	followed atomic.Uint64
+}
+
+func (p *testPeer) Controller() ids.ControllerName { return p.name }
 
 func (p *testPeer) FollowedRevision() ids.Revision                     { return ids.Revision(p.followed.Load()) }
 func (*testPeer) AnsweredWithin(monotonic.Instant, time.Duration) bool { return false }
--- a/controller/leader/load.go
+++ b/controller/leader/load.go
@@ -45,6 +45,9 @@
 	}
 	options := l.schedulerOptions(l.term.Revision, previousLeader)
 	options.WallClockMS = time.Now().UnixMilli()
+	if err := l.beginTerm(ctx, &options); err != nil {
+		return err
+	}
 	types, _ := l.Catalog.MachineTypes()
 	l.core = scheduler.New(options, types)
 	if l.revision, err = l.list(ctx, records.JobPrefix, l.loadJob); err != nil {
@@ -111,6 +114,49 @@
 	return false, nil
 }
 
+// beginTerm records that this controller leads, and reads from the records of the other controllers' terms for how
+// long these may still act.
+func (l *loader) beginTerm(ctx context.Context, options *scheduler.Options) error {
+	terms := records.NewLeaderTerms()
+	_, err := l.list(ctx, records.LeaderTermPrefix, func(entry kv.Entry) error {
+		if err := terms.Add(entry); err != nil {
+			logUnreadable(l.Log, entry.Key, err)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	change := terms.BeginChange(l.Platform.HostName, l.term.Revision, options.WallClockMS)
+	fence := kv.Precondition{Key: records.LeaderKey, Revision: l.term.Revision}
+	result, err := l.Store.Commit(ctx, kv.Txn{Preconditions: append(change.Preconditions, fence), Operations: change.Operations})
+	switch {
+	case err != nil:
+		return err
+	case !result.Applied:
+		return records.ErrFenced
+	}
+	superseded := terms.Superseded()
+	options.PreviousLeaders = l.supersededFor(superseded, options.WallClockMS)
+	// A version that records no terms may have led until the gate opened.
+	options.AllPreviousLeadersKnown = l.VersionGate.Open() && len(superseded) > 0
+	return nil
+}
+
+// supersededFor returns how long ago the controllers were superseded at least. The time of day of each controller
+// may differ from the true time by the skew in the settings.
+func (l *loader) supersededFor(supersededMS map[ids.ControllerName]int64, nowMS int64) map[ids.ControllerName]time.Duration {
+	skew := time.Duration(l.Platform.Settings.SkewMS * float64(time.Millisecond))
+	elapsed := make(map[ids.ControllerName]time.Duration, len(supersededMS))
+	for name, at := range supersededMS {
+		elapsed[name] = max(0, time.Duration(nowMS-at)*time.Millisecond-2*skew-wallClockMargin)
+	}
+	return elapsed
+}
+
+// wallClockMargin covers the resolution of the wall clock and the rate at which it is corrected.
+const wallClockMargin = 500 * time.Millisecond
+
 // loadJob loads a job's record. A record that cannot be decoded is logged and registered as unreadable.
 func (l *loader) loadJob(entry kv.Entry) error {
 	id := ids.JobID(entry.Key[len(records.JobPrefix):])
--- a/controller/leader/load_test.go
+++ b/controller/leader/load_test.go
@@ -20,6 +20,21 @@
 	"ospreystile.example/ospreystile/wire"
 )
 
+// testRevision is the revision of the leader key in a store of startLedStore.
+const testRevision = 5
+
+// startLedStore starts a key-value store in which another controller has led before, and in which the leader key is
+// at testRevision.
+func startLedStore(t *testing.T) *kvtest.Server {
+	t.Helper()
+	server := kvtest.NewServer(kvtest.NewStore())
+	t.Cleanup(server.Close)
+	server.Put(records.FleetKey, 1)
+	server.AdvanceRevision(testRevision - 2)
+	server.Put(records.LeaderKey, 1)
+	return server
+}
+
 // startStoreWithUnreadableRecords starts a key-value store in which three records cannot be decoded: the
 // job records of job-1 and of job-4, whose tasks are placed, and the admission slice of job-3. It returns
 // the address of the store.
@@ -27,9 +42,7 @@
 	t.Helper()
 	readable := records.Job{Status: wire.JobQueued, Tasks: 1, Spec: &wire.JobSpec{Team: "red", Tasks: 1, CPUs: 1}}
 	placed := records.AdmissionSlice{Machines: []ids.MachineID{"n-1"}, Zones: []ids.Zone{"a"}, Tasks: []int{0, 1, 0}}
-	server := kvtest.NewServer(kvtest.NewStore())
-	t.Cleanup(server.Close)
-	server.Put(records.FleetKey, 1)
+	server := startLedStore(t)
 	server.Put(records.JobKey("job-1"), "nonsense")
 	server.Put(records.JobKey("job-2"), readable)
 	server.Put(records.JobKey("job-3"), readable)
@@ -42,7 +55,7 @@
 // loadCore returns a core with the records of the dependencies' key-value store.
 func loadCore(t *testing.T, dependencies Dependencies) *scheduler.Core {
 	t.Helper()
-	recordLoader := &loader{Dependencies: dependencies, term: testTerm(5)}
+	recordLoader := &loader{Dependencies: dependencies, term: testTerm(testRevision)}
 	if err := recordLoader.load(t.Context()); err != nil {
 		t.Fatalf("load records: %v", err)
 	}
@@ -124,9 +137,7 @@
 // A page that the key-value store does not return must be read again. If the term ended instead, and the next one
 // began with the first page again, a long list might never be read.
 func TestRecordsAreLoadedDespiteFailedReads(t *testing.T) {
-	server := kvtest.NewServer(kvtest.NewStore())
-	t.Cleanup(server.Close)
-	server.Put(records.FleetKey, 1)
+	server := startLedStore(t)
 	server.Put(records.JobKey("job-1"), records.Job{Status: wire.JobQueued, Tasks: 1, Spec: &wire.JobSpec{Team: "red", Tasks: 1, CPUs: 1}})
 	dependencies := testDependencies(t, server.Address())
 	dependencies.Store = kv.New(&refusingTransport{Transport: httpclient.New(server.Address(), 4, 1<<20), refusals: 3}, 200)
@@ -134,3 +145,33 @@
 		t.Error("job-1 is not loaded")
 	}
 }
+
+// Each leader must learn for how long earlier leaders may still act from their own last terms. If these counted from
+// the start of its own term, and terms are short, no cancellation would ever be acknowledged.
+func TestSupersededTermsOutliveTheNextTerm(t *testing.T) {
+	server := startLedStore(t)
+	minuteAgo := time.Now().Add(-time.Minute).UnixMilli()
+	server.Put(records.LeaderTermKey("n-1"), records.LeaderTerm{Revision: 2, SupersededMS: minuteAgo})
+	server.Put(records.LeaderTermKey("n-2"), records.LeaderTerm{Revision: 3})
+	server.Put(records.LeaderTermKey("n-0"), records.LeaderTerm{Revision: 4, SupersededMS: minuteAgo})
+	dependencies := testDependencies(t, server.Address())
+	dependencies.VersionGate = &testVersionGate{open: true}
+	recordLoader := &loader{Dependencies: dependencies, term: testTerm(testRevision)}
+	options := scheduler.Options{WallClockMS: time.Now().UnixMilli()}
+	if err := recordLoader.beginTerm(t.Context(), &options); err != nil {
+		t.Fatal(err)
+	}
+	if !options.AllPreviousLeadersKnown || len(options.PreviousLeaders) != 2 {
+		t.Errorf("known: %v, leaders: %v, want n-1 and n-2", options.AllPreviousLeadersKnown, options.PreviousLeaders)
+	}
+	if since := options.PreviousLeaders["n-1"]; since < 50*time.Second || since > time.Minute {
+		t.Errorf("n-1 is superseded for %v, want a minute less the margins", since)
+	}
+	if since := options.PreviousLeaders["n-2"]; since != 0 {
+		t.Errorf("n-2, which led until now, is superseded for %v", since)
+	}
+	var last records.LeaderTerm
+	if entry, found := server.Entry(records.LeaderTermKey("n-2")); !found || wire.Decode(entry.Value, &last) != nil || last.SupersededMS == 0 {
+		t.Errorf("the record of n-2 is %+v, want one that says when it was superseded", last)
+	}
+}
--- a/controller/leader/peers.go
+++ b/controller/leader/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ospreystile.example/ospreystile/ids"
@@ -28,16 +29,24 @@
 	return view
 }
 
-// awaitFollowers waits until each peer's pings show that the peer follows this leader or a later one,
-// and then posts followersConfirmed.
+// awaitFollowers waits until each peer's pings show that the peer follows this leader or a later one. It posts
+// followerConfirmed for each peer, and then followersConfirmed.
 func awaitFollowers(ctx context.Context, peers []Peer, revision ids.Revision, mailbox *mailbox) error {
-	for _, peer := range peers {
-		for peer.FollowedRevision() < revision {
-			if !monotonic.Sleep(ctx, followerCheckInterval) {
-				return ctx.Err()
+	waiting := slices.Clone(peers)
+	for {
+		waiting = slices.DeleteFunc(waiting, func(peer Peer) bool {
+			follows := peer.FollowedRevision() >= revision
+			if follows {
+				mailbox.post(ctx, followerConfirmed{peer.Controller()})
 			}
+			return follows
+		})
+		if len(waiting) == 0 {
+			mailbox.post(ctx, followersConfirmed{})
+			return nil
+		}
+		if !monotonic.Sleep(ctx, followerCheckInterval) {
+			return ctx.Err()
 		}
 	}
-	mailbox.post(ctx, followersConfirmed{})
-	return nil
 }
--- a/controller/leader/peers_test.go
+++ b/controller/leader/peers_test.go
@@ -7,11 +7,11 @@
 	"time"
 )
 
-// followersConfirmed is posted only once all peers follow this leader. A peer that does not may be a
-// previous leader that still answers heartbeats.
+// followerConfirmed is posted for each peer, and followersConfirmed only once all peers follow this leader. A peer
+// that does not may be a previous leader that still answers heartbeats.
 func TestFollowersConfirmedRequiresAllPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		first, second := new(testPeer), new(testPeer)
+		first, second := &testPeer{name: "n-1"}, &testPeer{name: "n-2"}
 		leaderMailbox := newMailbox()
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
@@ -19,7 +19,7 @@
 		for _, step := range []struct {
 			first, second uint64
 			posted        int
-		}{{0, 0, 0}, {9, 0, 0}, {9, 6, 0}, {9, 7, 1}} {
+		}{{0, 0, 0}, {9, 0, 1}, {9, 6, 1}, {9, 7, 3}} {
 			first.followed.Store(step.first)
 			second.followed.Store(step.second)
 			time.Sleep(time.Second)
@@ -27,8 +27,10 @@
 				t.Errorf("%+v: posted %d times", step, posted)
 			}
 		}
-		if e, ok := (<-leaderMailbox.events).(followersConfirmed); !ok {
-			t.Errorf("posted %T", e)
+		for _, want := range []event{followerConfirmed{"n-1"}, followerConfirmed{"n-2"}, followersConfirmed{}} {
+			if got := <-leaderMailbox.events; got != want {
+				t.Errorf("posted %T %v, want %T %v", got, got, want, want)
+			}
 		}
 		cancel()
 		<-done
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -29,6 +29,9 @@
 	versions atomic.Pointer[peerapi.Versions]
 }
 
+// Controller implements leader.Peer.
+func (p *peer) Controller() ids.ControllerName { return p.Name }
+
 // FollowedRevision implements leader.Peer.
 func (p *peer) FollowedRevision() ids.Revision { return ids.Revision(p.leaderRevision.Load()) }
 
--- a/records/golden_test.go
+++ b/records/golden_test.go
@@ -46,6 +46,8 @@
 		{Name: "admission slice, split, last part", Value: AdmissionSlice{Nonce: 98, Machines: []ids.MachineID{"n-000007"}, Zones: []ids.Zone{"zone-b"},
 			Tasks: []int{65, 1, 0, 66, 300, -1}, Done: []int{69}}},
 		{Name: "termination", Value: Termination{Nonce: 99, Machines: []ids.MachineID{"n-000231", "n-000007"}}},
+		{Name: "term of a leader", Value: LeaderTerm{Revision: 412, SupersededMS: 1764640000456}},
+		{Name: "term of the current leader", Value: LeaderTerm{Revision: 412}, Partial: true},
 		{Name: "catalog part", Value: CatalogPart{Types: goldenTypes("g8")}},
 	})
 }
@@ -56,6 +58,8 @@
 		{name: "prefix of jobs", got: JobPrefix, want: "jobs/"},
 		{name: "prefix of admission slices", got: AdmissionPrefix, want: "admissions/"},
 		{name: "prefix of zones", got: ZonePrefix, want: "zones/"},
+		{name: "prefix of leaders' terms", got: LeaderTermPrefix, want: "terms/"},
+		{name: "term of a leader", got: LeaderTermKey("perch-1"), want: "terms/perch-1"},
 		{name: "prefix of terminations", got: TerminationPrefix, want: "terminations/"},
 		{name: "termination", got: TerminationKey(42), want: "terminations/00000000000000000042"},
 		{name: "prefix of the catalog", got: CatalogPrefix, want: "catalog/"},
--- a/records/keys.go
+++ b/records/keys.go
@@ -22,6 +22,9 @@
 	// TerminationPrefix is the prefix of the keys of terminations. These records exist only once every
 	// controller reads them.
 	TerminationPrefix = "terminations/"
+	// LeaderTermPrefix is the prefix of the keys of the last terms of controllers. Versions without them
+	// neither read nor write them.
+	LeaderTermPrefix = "terms/"
 	// LeaderKey is the key that names the leader and is attached to its lease. The revision of
 	// the key fences the leader's commits.
 	LeaderKey = "leader"
@@ -46,6 +49,11 @@
 // terminations are listed in the order of their decision.
 func TerminationKey(nonce uint64) string { return fmt.Sprintf("%s%020d", TerminationPrefix, nonce) }
 
+// LeaderTermKey returns the key of the record of a controller's last term.
+func LeaderTermKey(controller ids.ControllerName) string {
+	return LeaderTermPrefix + string(controller)
+}
+
 // AdmissionKey returns the key of one admission slice of a job. Numbers are zero-padded so that
 // the slices of a job are listed in order.
 func AdmissionKey(id ids.JobID, number int) string {
--- a/records/records.go
+++ b/records/records.go
@@ -28,7 +28,8 @@
 	// SubmittedMS is the submission time as Unix time in milliseconds. Jobs are ordered by it.
 	SubmittedMS int64 `msgpack:"t,omitempty"`
 	// DoneMS is the completion time as Unix time in milliseconds. Jobs that depend on this
-	// job are ready from then on. It is zero in records of versions without this field.
+	// job are ready from then on. It is zero in records of versions without this field. For a
+	// cancelled job it is the time of the cancellation.
 	DoneMS int64 `msgpack:"e,omitempty"`
 }
 
--- a/scheduler/cluster/job.go
+++ b/scheduler/cluster/job.go
@@ -30,6 +30,7 @@
 	active   map[int]*Assignment
 	zones    placement.TasksByZone
 	endedAt  monotonic.Instant
+	endedMS  int64
 	started  bool
 
 	Queue    JobQueue
@@ -144,9 +145,14 @@
 // Zones returns the number of the job's assignments by zone. The caller must not modify it.
 func (j *Job) Zones() placement.TasksByZone { return j.zones }
 
-// EndedAt returns the time at which this controller set the job's terminal state.
+// EndedAt returns the time at which this controller set the job's terminal state or, if an earlier time is known
+// from the record, that time.
 func (j *Job) EndedAt() monotonic.Instant { return j.endedAt }
 
+// EndedMS returns the time at which the job ended according to the record that was loaded, as Unix time in
+// milliseconds, or 0 if it is not known.
+func (j *Job) EndedMS() int64 { return j.endedMS }
+
 // Started reports whether a task of the job was ever placed.
 func (j *Job) Started() bool { return j.started }
 
@@ -232,7 +238,7 @@
 	now := s.clock.Now()
 	j := &Job{ID: id, Spec: record.Spec, status: record.Status, active: map[int]*Assignment{}, zones: placement.TasksByZone{},
 		Queue:   JobQueue{ReadyMS: record.SubmittedMS, OrderMS: record.SubmittedMS, ReadyAt: now, WaitingSince: now},
-		Records: JobRecords{Revision: revision}}
+		Records: JobRecords{Revision: revision}, endedMS: record.DoneMS}
 	if j.Spec == nil {
 		j.Spec = &wire.JobSpec{Tasks: record.Tasks}
 	}
@@ -256,6 +262,9 @@
 	j.endedAt = s.clock.Now()
 }
 
+// SetEndedAt sets the time at which a job ended to an earlier time.
+func (*State) SetEndedAt(j *Job, at monotonic.Instant) { j.endedAt = min(j.endedAt, at) }
+
 // RemoveJob removes a job that has no assignments.
 func (s *State) RemoveJob(j *Job) { delete(s.jobs, j.ID) }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/monotonic"
 	"ospreystile.example/ospreystile/scheduler/clock"
 	"ospreystile.example/ospreystile/scheduler/cluster"
@@ -92,6 +93,13 @@
 	c.previousLeaders.end()
 }
 
+// ControllerFollows records that one other controller has confirmed since the start of this term that it follows
+// this leader or a later one. See AllControllersFollow.
+func (c *Core) ControllerFollows(now monotonic.Instant, name ids.ControllerName) {
+	c.clock.Set(now)
+	c.previousLeaders.follows(name)
+}
+
 // Step does the work that is due now, including that which the events since the last step have
 // caused, and returns the decisions made since the last step.
 func (c *Core) Step(now monotonic.Instant) Decisions {
--- a/scheduler/job_records.go
+++ b/scheduler/job_records.go
@@ -197,6 +197,9 @@
 		}
 		if j.Terminal() {
 			r.lifecycle.endJob(j, j.Status())
+			if j.EndedMS() > 0 {
+				r.cluster.SetEndedAt(j, r.instantOf(j.EndedMS()))
+			}
 			continue
 		}
 		j.RebuildPending()
@@ -209,15 +212,20 @@
 // maxInheritedWait limits how long a job counts as having waited before the term began.
 const maxInheritedWait = time.Hour
 
-// readySince returns the instant at which a loaded job became ready to run, derived from the wall
+// readySince returns the instant at which a loaded job became ready to run.
+func (r *jobRecordReader) readySince(j *cluster.Job) monotonic.Instant {
+	return r.instantOf(j.Queue.ReadyMS)
+}
+
+// instantOf returns the instant of a Unix time in milliseconds before the term began, derived from the wall
 // clock. It is at most maxInheritedWait before the current time, and it is the current time if the
 // wall clock is not known.
-func (r *jobRecordReader) readySince(j *cluster.Job) monotonic.Instant {
+func (r *jobRecordReader) instantOf(unixMS int64) monotonic.Instant {
 	now := r.clock.Now()
 	if r.clock.WallAtBeginMS() <= 0 {
 		return now
 	}
-	age := time.Duration(r.clock.WallAtBeginMS()-j.Queue.ReadyMS) * time.Millisecond
+	age := time.Duration(r.clock.WallAtBeginMS()-unixMS) * time.Millisecond
 	return now.Add(-min(max(age, 0), maxInheritedWait))
 }
 
--- a/scheduler/machine_check.go
+++ b/scheduler/machine_check.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"ospreystile.example/ospreystile/monotonic"
 	"ospreystile.example/ospreystile/scheduler/cluster"
 	"ospreystile.example/ospreystile/wire"
@@ -26,6 +28,9 @@
 	// holds a cancelled task is terminated. The cloud needs the rest of the deadline for the
 	// termination.
 	cancelOverduePercent = 45
+	// heartbeatRetryTime is the time after which an agent whose controller has ended sends its heartbeat to
+	// the next one.
+	heartbeatRetryTime = 5 * time.Second
 )
 
 // keepMachine means that there is no reason to terminate the machine.
@@ -123,6 +128,13 @@
 	return m.NoHeartbeatFor(c.clock.Now(), missedHeartbeatLeases*c.settings.agentLease)
 }
 
+// firstHeartbeatTime returns the time after the start of a term within which a machine that is in order has sent
+// this leader a heartbeat, which shows whether it still holds the tasks that the records place there. Heartbeats
+// are at most a quarter of their interval late.
+func (c *machineCheck) firstHeartbeatTime() time.Duration {
+	return c.settings.heartbeatInterval*5/4 + heartbeatRetryTime
+}
+
 // cancelOverdue reports whether a machine still holds a task of a cancelled job for which
 // cancelOverduePercent of the cancel deadline has passed.
 func (c *machineCheck) cancelOverdue(m *cluster.Machine) bool {
@@ -130,10 +142,11 @@
 		return false // no task is stopping
 	}
 	for _, a := range m.Assignments() {
-		if a.StopReason() != cluster.StopCancelled {
-			continue
+		if a.StopReason() != cluster.StopCancelled || !a.MayRun() {
+			continue // a task that was never sent does not run, and a later leader does not know it
 		}
-		if c.clock.Now() > a.Job.EndedAt().Add(c.settings.cancelDeadline*cancelOverduePercent/100) {
+		overdueAt := a.Job.EndedAt().Add(c.settings.cancelDeadline * cancelOverduePercent / 100)
+		if c.clock.Now() > max(overdueAt, c.clock.TermStart().Add(c.firstHeartbeatTime())) {
 			return true
 		}
 	}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -42,6 +42,12 @@
 	// lost the key-value store may still answer machines. PreviousLeaderGraceWithoutReplicas
 	// is the same for machines on which no replica of a service is recorded.
 	PreviousLeaderGrace, PreviousLeaderGraceWithoutReplicas time.Duration
+	// PreviousLeaders holds, for each other controller that has led before this term, how long before the
+	// start of this term it had been superseded at least. Both grace periods count from then on. If
+	// AllPreviousLeadersKnown is false, other controllers may have led as well, and the grace periods
+	// also count from the start of this term.
+	PreviousLeaders         map[ids.ControllerName]time.Duration
+	AllPreviousLeadersKnown bool
 }
 
 // AdmissionOptions holds the settings of scheduling rounds.
--- a/scheduler/previous_leaders.go
+++ b/scheduler/previous_leaders.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"ospreystile.example/ospreystile/ids"
@@ -37,10 +36,13 @@
 	cluster  *cluster.State
 	clock    *clock.Clock
 	settings previousLeaderSettings
-	// replicasAnsweredUntil is the latest time at which a previous leader answers machines on which
-	// a replica was recorded when this term began. othersAnsweredUntil is the same for all other
-	// machines.
-	replicasAnsweredUntil, othersAnsweredUntil monotonic.Instant
+	// bounds holds the bounds of each previous leader that may still act. The bounds of those that are not
+	// known are under the empty name.
+	bounds map[ids.ControllerName]answerBounds
+	// answerBounds holds the latest of them.
+	answerBounds
+	// inherited holds the machines that had a task of each job when this term began.
+	inherited map[ids.JobID][]*cluster.Machine
 	// recordsUnreadable reports whether some records could not be read, so that any machine may have
 	// replicas.
 	recordsUnreadable bool
@@ -49,6 +51,22 @@
 	restrictedToReplicas bool
 }
 
+// answerBounds holds the latest time at which a previous leader answers machines on which a replica was recorded
+// when this term began, and the latest time at which it answers all other machines.
+type answerBounds struct {
+	replicasAnsweredUntil, othersAnsweredUntil monotonic.Instant
+}
+
+// latest returns the later bounds of both.
+func (b answerBounds) latest(other answerBounds) answerBounds {
+	return answerBounds{max(b.replicasAnsweredUntil, other.replicasAnsweredUntil), max(b.othersAnsweredUntil, other.othersAnsweredUntil)}
+}
+
+// earliest returns the earlier bounds of both.
+func (b answerBounds) earliest(other answerBounds) answerBounds {
+	return answerBounds{min(b.replicasAnsweredUntil, other.replicasAnsweredUntil), min(b.othersAnsweredUntil, other.othersAnsweredUntil)}
+}
+
 // previousLeaderSettings holds the settings of previousLeaders.
 type previousLeaderSettings struct {
 	// exists reports whether another leader may have acted before this term.
@@ -56,6 +74,9 @@
 	// grace is how long after this term began a previous leader without the key-value store may
 	// answer machines. graceWithoutReplicas is the same for machines on which no replica is recorded.
 	grace, graceWithoutReplicas time.Duration
+	// leaders and allKnown are Options.PreviousLeaders and AllPreviousLeadersKnown.
+	leaders  map[ids.ControllerName]time.Duration
+	allKnown bool
 	// cancelDeadline is the time within which the tasks of a cancelled job must have ended.
 	// agentLease is how long an agent keeps running tasks after its last answered heartbeat.
 	cancelDeadline, agentLease time.Duration
@@ -63,27 +84,68 @@
 
 // begin sets the bounds. It must be called after the records are loaded.
 func (p *previousLeaders) begin() {
-	now := p.clock.Now()
-	p.replicasAnsweredUntil, p.othersAnsweredUntil = now, now
+	p.bounds = map[ids.ControllerName]answerBounds{}
+	if p.settings.exists && !p.settings.allKnown {
+		p.bounds[""] = p.boundsOf(0)
+	}
 	if p.settings.exists {
-		p.replicasAnsweredUntil = now.Add(p.settings.grace)
-		p.othersAnsweredUntil = now.Add(min(p.settings.grace, p.settings.graceWithoutReplicas))
+		for name, supersededFor := range p.settings.leaders {
+			p.bounds[name] = p.boundsOf(supersededFor)
+		}
 	}
+	p.update()
+	p.inherited = map[ids.JobID][]*cluster.Machine{}
 	for _, m := range p.cluster.Machines() {
 		m.Agent.HadReplicas = m.HasRecordedReplica()
-		m.Agent.HadCancelledTask = holdsCancelledTask(m)
+		p.inherit(m)
+	}
+}
+
+// inherit records which jobs have a task on a machine according to the records that were read when this term
+// began.
+func (p *previousLeaders) inherit(m *cluster.Machine) {
+	for _, a := range m.Assignments() {
+		p.inherited[a.Job.ID] = append(p.inherited[a.Job.ID], m)
+		if a.Job.Terminal() {
+			m.Agent.HadCancelledTask = true
+		}
+	}
+}
+
+// boundsOf returns the bounds of a previous leader that had been superseded for some time when this term began.
+func (p *previousLeaders) boundsOf(supersededFor time.Duration) answerBounds {
+	now := p.clock.Now()
+	until := func(grace time.Duration) monotonic.Instant { return now.Add(max(0, grace-max(0, supersededFor))) }
+	return answerBounds{until(p.settings.grace), until(min(p.settings.grace, p.settings.graceWithoutReplicas))}
+}
+
+// update derives the latest bounds. Previous leaders that do not act any more may have answered until now.
+func (p *previousLeaders) update() {
+	now := p.clock.Now()
+	latest := answerBounds{now, now}
+	for _, bounds := range p.bounds {
+		latest = latest.latest(bounds)
 	}
+	p.answerBounds = latest
 }
 
-// holdsCancelledTask reports whether a task of a cancelled job is assigned to a machine.
-func holdsCancelledTask(m *cluster.Machine) bool {
-	return slices.ContainsFunc(m.Assignments(), func(a *cluster.Assignment) bool { return a.Job.Terminal() })
+// follows records that a controller follows this leader or a later one, so that it answers no machine as a
+// previous leader from now on.
+func (p *previousLeaders) follows(name ids.ControllerName) {
+	if _, found := p.bounds[name]; !found {
+		return
+	}
+	delete(p.bounds, name)
+	before := p.answerBounds
+	p.update()
+	p.answerBounds = p.earliest(before)
 }
 
 // end records that no previous leader answers any machine from now on.
 func (p *previousLeaders) end() {
 	now := p.clock.Now()
-	p.replicasAnsweredUntil, p.othersAnsweredUntil = min(p.replicasAnsweredUntil, now), min(p.othersAnsweredUntil, now)
+	p.bounds = nil
+	p.answerBounds = p.earliest(answerBounds{now, now})
 }
 
 // answeredUntil returns the latest time at which a previous leader may have received a heartbeat of a
@@ -108,10 +170,13 @@
 	return p.settings.exists && p.clock.Now() < until
 }
 
-// recordCancelled records that a machine holds a task of a job that was just cancelled. A previous leader may
-// observe the same cancellation.
-func (p *previousLeaders) recordCancelled(m *cluster.Machine) {
-	if p.mayCallCloud() {
+// recordCancelled records that a job was just cancelled. A previous leader may observe the same cancellation, and
+// terminate the machines on which it last knew a task of the job, even if the task has ended in the meantime.
+func (p *previousLeaders) recordCancelled(j *cluster.Job) {
+	if !p.mayCallCloud() {
+		return
+	}
+	for _, m := range p.inherited[j.ID] {
 		m.Agent.HadCancelledTask = true
 	}
 }
--- a/scheduler/previous_leaders_test.go
+++ b/scheduler/previous_leaders_test.go
@@ -171,3 +171,44 @@
 		t.Fatal("the previous leader was not superseded")
 	}
 }
+
+// A zone is partitioned together with its leader, services there are cancelled, and the later leaders end one after
+// the other. If each of them waited anew for the isolated leader, and counted the time until a machine is terminated
+// anew, then no cancellation would be acknowledged, and no machine terminated, for as long as that goes on.
+func TestCancellationIsAcknowledgedAcrossFailovers(t *testing.T) {
+	for _, term := range []time.Duration{5 * second, 15 * second, 25 * second} {
+		t.Run(term.String(), func(t *testing.T) {
+			for seed := range uint64(6) {
+				testCancellationsAcrossFailovers(t, 3000+seed, term)
+			}
+		})
+	}
+}
+
+func testCancellationsAcrossFailovers(t *testing.T, seed uint64, term time.Duration) {
+	t.Helper()
+	s := newScenario(t, seed)
+	s.outlivingLeaders = true
+	s.submitJobs(8, func(spec *wire.JobSpec) { asService(spec); spec.Spread, spec.Zone, spec.OneZone = false, "a", true })
+	s.run(40 * second)
+	s.faults = false
+	s.failOverWithPreviousLeaderActive()
+	s.isolatedZone, s.isolatedZoneUntil, s.unconfirmedUntil = "a", s.fromNow(130*second), s.fromNow(130*second)
+	s.run(5 * second)
+	s.cancelEachNth(2)
+	limit := s.fromNow(unacknowledgedLimit)
+	for s.now < limit {
+		s.run(term)
+		s.failOver()
+	}
+	for id := range s.cancelled {
+		if at, acknowledged := s.cancelAcknowledgedAt[id]; !acknowledged || at > limit {
+			t.Errorf("seed %d: the cancellation of %s is not acknowledged within %v", seed, id, unacknowledgedLimit)
+		}
+	}
+	s.requireNoViolations()
+}
+
+// unacknowledgedLimit is the time after which a job about which no question is answered counts as forgotten, less
+// the time between two questions of a user.
+const unacknowledgedLimit = 70 * time.Second
--- a/scheduler/record_deletion.go
+++ b/scheduler/record_deletion.go
@@ -4,6 +4,7 @@
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/records"
 	"ospreystile.example/ospreystile/scheduler/cluster"
+	"ospreystile.example/ospreystile/wire"
 )
 
 // sliceDeletion represents the change that deletes admission slices of a job that has ended.
@@ -27,9 +28,10 @@
 // deleteSlices deletes admission slices of a job that has ended, as many as one change allows. It
 // waits until none of the job's tasks can be on a machine. A job without recorded slices is
 // removed from the cluster state. A job that has to wait is marked again by the event that it
-// waits for.
+// waits for. The records of a cancelled job are kept while a previous leader may terminate machines
+// for its tasks, so that the next leader knows these machines too.
 func (w *recordWriter) deleteSlices(j *cluster.Job) {
-	if w.delayed(j) {
+	if w.delayed(j) || j.Status() == wire.JobCancelled && w.leaders.mayCallCloud() {
 		return
 	}
 	delete(w.deletable, j)
--- a/scheduler/record_fixture_test.go
+++ b/scheduler/record_fixture_test.go
@@ -43,7 +43,7 @@
 	state := cluster.NewState(cluster.Settings{SliceTasks: 4, BootFactor: 4}, clk, rounds, quota.NewTracker(nil))
 	f := &recordFixture{t: t, observed: map[ids.JobID]*records.Job{}}
 	f.recordWriter = newRecordWriter(state, clk, rounds, settings)
-	f.tasks, f.commands, f.jobs = f, f, f
+	f.tasks, f.commands, f.jobs, f.leaders = f, f, f, f
 	f.begin()
 	return f
 }
@@ -62,6 +62,9 @@
 
 func (f *recordFixture) applyJobRecord(id ids.JobID, record *records.Job) { f.observed[id] = record }
 
+// mayCallCloud implements cloudCallObserver: there is no previous leader.
+func (*recordFixture) mayCallCloud() bool { return false }
+
 // addJob adds a job whose record has revision 3.
 func (f *recordFixture) addJob(id ids.JobID, tasks int) *cluster.Job {
 	f.t.Helper()
--- a/scheduler/record_writer.go
+++ b/scheduler/record_writer.go
@@ -28,6 +28,7 @@
 	tasks    taskReleaser
 	commands machineQueue
 	jobs     jobRecordObserver
+	leaders  cloudCallObserver
 	settings recordSettings
 
 	budget writeBudget
@@ -73,6 +74,9 @@
 	}
 }
 
+// cloudCallObserver reports whether a call of a previous leader to the cloud may still be carried out.
+type cloudCallObserver interface{ mayCallCloud() bool }
+
 // jobRecordObserver is notified of the new record of a job.
 type jobRecordObserver interface {
 	applyJobRecord(id ids.JobID, record *records.Job)
--- a/scheduler/sim_controllers_test.go
+++ b/scheduler/sim_controllers_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -27,6 +28,15 @@
 	previousCore  *Core
 	previousTerm  int
 	previousUntil monotonic.Instant
+	// leaderName and previousName are the names of the controllers of core and previousCore. supersededAt
+	// holds the time at which each controller that has led was last superseded.
+	leaderName, previousName ids.ControllerName
+	supersededAt             map[ids.ControllerName]monotonic.Instant
+	// unconfirmedUntil is the time until which the controller of a previous leader confirms nothing, even if its
+	// grace period has ended.
+	unconfirmedUntil monotonic.Instant
+	// outlivingLeaders makes an isolated previous leader outlive the terms of later leaders.
+	outlivingLeaders bool
 	// pausedCore is the core of a leader whose process is paused until pausedUntil. Messages to it
 	// wait.
 	pausedCore  *Core
@@ -35,20 +45,34 @@
 
 // failOver starts the term of a new leader. Messages of the previous leader are still in flight. With
 // faults, the previous leader sometimes remains active: it reaches its workers, but neither the store
-// nor its peers.
+// nor its peers. One that is active already may outlive the term of the next leader.
 func (s *sim) failOver() {
+	switch {
+	case s.outlivingLeaders && s.previousCore != nil && s.now < s.previousUntil:
+		// The leader's process has ended, and the isolated one before it acts on.
+	case s.leaderRevision != 0 && s.chance(0.4):
+		s.isolateLeader()
+	default:
+		s.previousCore = nil
+	}
+	s.startTerm()
+}
+
+// startTerm starts the term of a new leader.
+func (s *sim) startTerm() {
 	hadLeader := s.leaderRevision != 0
-	s.previousCore = nil
-	if hadLeader && s.chance(0.4) {
-		s.previousCore, s.previousTerm, s.previousUntil = s.core, s.term, s.now.Add(simGraceWithReplicas)
+	if hadLeader {
+		s.supersededAt[s.leaderName] = s.now
 	}
+	s.leaderName = s.nextLeaderName()
 	s.leaderRefusedUntil, s.leaseValidUntil = 0, s.now.Add(simLeaderLease)
 	s.applyTxn(nil, []kv.Operation{{PutKey: records.LeaderKey, Value: "x"}})
 	s.leaderRevision = s.storeRevision
 	s.term++
 	opt := s.opt
 	opt.Revision, opt.PreviousLeader = s.leaderRevision, hadLeader
-	opt.WallClockMS = int64(time.Duration(s.now) / time.Millisecond)
+	opt.WallClockMS = s.wallMS()
+	opt.PreviousLeaders, opt.AllPreviousLeadersKnown = s.previousLeaders(), true
 	s.core = New(opt, s.catalogOfNewLeader())
 	s.loadRecords()
 	s.core.Begin(s.now)
@@ -58,6 +82,36 @@
 	s.delayedHeartbeats = nil
 }
 
+// isolateLeader makes the leader a previous leader that acts on without the store and its peers.
+func (s *sim) isolateLeader() {
+	s.previousCore, s.previousTerm, s.previousUntil, s.previousName = s.core, s.term, s.now.Add(simGraceWithReplicas), s.leaderName
+}
+
+// nextLeaderName returns the name of a controller that is not isolated, which is not always the same one.
+func (s *sim) nextLeaderName() ids.ControllerName {
+	for i := range 2 {
+		name := ids.ControllerName(fmt.Sprintf("controller-%d", (s.term+i)%3))
+		if s.previousCore == nil || name != s.previousName {
+			return name
+		}
+	}
+	return "controller-2"
+}
+
+// previousLeaders returns for how long each other controller that has led is superseded.
+func (s *sim) previousLeaders() map[ids.ControllerName]time.Duration {
+	leaders := map[ids.ControllerName]time.Duration{}
+	for name, at := range s.supersededAt {
+		if name != s.leaderName {
+			leaders[name] = s.now.Sub(at)
+		}
+	}
+	return leaders
+}
+
+// wallMS returns the wall-clock time in Unix milliseconds.
+func (s *sim) wallMS() int64 { return int64(time.Duration(s.now) / time.Millisecond) }
+
 // loadRecords loads the records of the store into the new leader: first those of jobs and zones, then
 // the admission records, which refer to jobs. Both are in the order of their keys.
 func (s *sim) loadRecords() {
@@ -89,9 +143,8 @@
 // failOverWithPreviousLeaderActive starts the term of a new leader while the previous leader remains
 // active.
 func (s *sim) failOverWithPreviousLeaderActive() {
-	previous, term := s.core, s.term
-	s.failOver()
-	s.previousCore, s.previousTerm, s.previousUntil = previous, term, s.now.Add(simGraceWithReplicas)
+	s.isolateLeader()
+	s.startTerm()
 }
 
 // restrictPreviousLeader has the previous leader answer only workers with replicas once its grace
@@ -153,7 +206,19 @@
 	if s.previousCore != nil {
 		s.restrictPreviousLeader()
 		s.stepLeader(simLeader{s, s.previousCore, s.previousTerm})
-	} else {
+	}
+	s.confirmFollowers()
+}
+
+// confirmFollowers tells the leader that all controllers but the isolated one, if there is one, follow it.
+func (s *sim) confirmFollowers() {
+	if s.previousCore == nil && s.now >= s.unconfirmedUntil {
 		s.core.AllControllersFollow(s.now)
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.supersededAt)) {
+		if name != s.previousName {
+			s.core.ControllerFollows(s.now, name)
+		}
 	}
 }
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -143,7 +143,8 @@
 func newSim(t *testing.T, seed uint64) *sim {
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: monotonic.Instant(time.Hour), opt: simOptions(),
 		simStore: newSimStore(), simCloud: newSimCloud(), simNetwork: simNetwork{duplicateChance: 0.1}, simUsers: newSimUsers(),
-		faults: true, digest: newDecisionDigest()}
+		simControllers: simControllers{supersededAt: map[ids.ControllerName]monotonic.Instant{}, outlivingLeaders: seed%2 == 1},
+		faults:         true, digest: newDecisionDigest()}
 	s.failOver()
 	return s
 }
--- a/scheduler/sim_users_test.go
+++ b/scheduler/sim_users_test.go
@@ -51,6 +51,7 @@
 	if rec.Terminal() {
 		return
 	}
+	rec.DoneMS = s.wallMS()
 	c := records.CancelJobChange(id, s.store[key].revision, s.rng.Uint64(), rec, s.opt.MaxValueBytes)
 	s.applyTxn(c.Preconditions, c.Operations)
 	s.cancelled[id] = true
--- a/scheduler/task_lifecycle.go
+++ b/scheduler/task_lifecycle.go
@@ -27,8 +27,8 @@
 	lostWork [cluster.StopDrained + 1]lostWorkCount
 }
 
-// cancellationObserver records that a machine holds a task of a job that was just cancelled.
-type cancellationObserver interface{ recordCancelled(m *cluster.Machine) }
+// cancellationObserver records that a job was just cancelled.
+type cancellationObserver interface{ recordCancelled(j *cluster.Job) }
 
 // taskRecords marks records of a job that must be written or deleted.
 type taskRecords interface {
@@ -138,8 +138,8 @@
 func (l *taskLifecycle) endJob(j *cluster.Job, status wire.JobState) {
 	l.cluster.EndJob(j, status)
 	l.records.discardUnwritten(j)
+	l.leaders.recordCancelled(j)
 	for _, a := range j.Assignments() {
-		l.leaders.recordCancelled(a.Machine)
 		l.stop(a, cluster.StopCancelled)
 	}
 	l.records.markDeletable(j)
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -117,6 +117,8 @@
 			exists:               c.opt.PreviousLeader,
 			grace:                c.opt.PreviousLeaderGrace,
 			graceWithoutReplicas: c.opt.PreviousLeaderGraceWithoutReplicas,
+			leaders:              c.opt.PreviousLeaders,
+			allKnown:             c.opt.AllPreviousLeadersKnown,
 			cancelDeadline:       c.opt.CancelDeadline,
 			agentLease:           c.opt.AgentLease,
 		},
@@ -243,6 +245,7 @@
 	c.records.tasks = c.lifecycle
 	c.records.commands = c.commands
 	c.records.jobs = c.jobRecords
+	c.records.leaders = c.previousLeaders
 }
 
 // connectRegistry sets the components that the registry calls.
