Begin a term in a file of its own, and repeat what the store does not answer

The loader's file had grown, and the fenced commit stood twice in it. Test: TestTermBeginsDespiteALostResponse.

--- a/controller/leader/load.go
+++ b/controller/leader/load.go
@@ -69,6 +69,11 @@
 // listRetryDelay is the delay before a page that could not be read is read again.
 const listRetryDelay = 200 * time.Millisecond
 
+// unanswered reports whether the key-value store did not answer a request, so that it is worth repeating.
+func unanswered(err error) bool {
+	return errors.Is(err, kv.ErrUnavailable) || errors.Is(err, kv.ErrIndeterminate)
+}
+
 // list calls each with every entry whose key has a prefix, and returns the revision of the first page. It reads
 // a page again that the key-value store did not return, until the term ends: if it began with the first page
 // again, a long list might never be read.
@@ -77,7 +82,7 @@
 	for !pages.Complete() {
 		page, err := pages.Next(ctx)
 		switch {
-		case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrIndeterminate):
+		case unanswered(err):
 			l.Log.Debug("record list read failed", "prefix", prefix, "after", pages.LastKey(), "err", err)
 			if !monotonic.Sleep(ctx, listRetryDelay) {
 				return 0, err
@@ -95,68 +100,6 @@
 	return pages.FirstRevision(), nil
 }
 
-// ensureFleetRecord reports whether the fleet record already existed, which means that there was a
-// previous leader. If the record did not exist, ensureFleetRecord writes it.
-func (l *loader) ensureFleetRecord(ctx context.Context) (previousLeader bool, err error) {
-	if _, found, err := l.Store.Get(ctx, records.FleetKey); found || err != nil {
-		return found, err
-	}
-	result, err := l.Store.Commit(ctx, kv.Txn{
-		Preconditions: []kv.Precondition{{Key: records.LeaderKey, Revision: l.term.Revision}},
-		Operations:    []kv.Operation{{PutKey: records.FleetKey, Value: map[string]uint64{"first": uint64(l.term.Revision)}}},
-	})
-	switch {
-	case err != nil:
-		return false, err
-	case !result.Applied:
-		return false, records.ErrFenced
-	}
-	return false, nil
-}
-
-// beginTerm records that this controller leads, and reads from the records of the other controllers' terms for how
-// long these may still act.
-func (l *loader) beginTerm(ctx context.Context, options *scheduler.Options) error {
-	terms := records.NewLeaderTerms()
-	_, err := l.list(ctx, records.LeaderTermPrefix, func(entry kv.Entry) error {
-		if err := terms.Add(entry); err != nil {
-			logUnreadable(l.Log, entry.Key, err)
-		}
-		return nil
-	})
-	if err != nil {
-		return err
-	}
-	change := terms.BeginChange(l.Platform.HostName, l.term.Revision, options.WallClockMS)
-	fence := kv.Precondition{Key: records.LeaderKey, Revision: l.term.Revision}
-	result, err := l.Store.Commit(ctx, kv.Txn{Preconditions: append(change.Preconditions, fence), Operations: change.Operations})
-	switch {
-	case err != nil:
-		return err
-	case !result.Applied:
-		return records.ErrFenced
-	}
-	superseded := terms.Superseded()
-	options.PreviousLeaders = l.supersededFor(superseded, options.WallClockMS)
-	// A version that records no terms may have led until the gate opened.
-	options.AllPreviousLeadersKnown = l.VersionGate.Open() && len(superseded) > 0
-	return nil
-}
-
-// supersededFor returns how long ago the controllers were superseded at least. The time of day of each controller
-// may differ from the true time by the skew in the settings.
-func (l *loader) supersededFor(supersededMS map[ids.ControllerName]int64, nowMS int64) map[ids.ControllerName]time.Duration {
-	skew := time.Duration(l.Platform.Settings.SkewMS * float64(time.Millisecond))
-	elapsed := make(map[ids.ControllerName]time.Duration, len(supersededMS))
-	for name, at := range supersededMS {
-		elapsed[name] = max(0, time.Duration(nowMS-at)*time.Millisecond-2*skew-wallClockMargin)
-	}
-	return elapsed
-}
-
-// wallClockMargin covers the resolution of the wall clock and the rate at which it is corrected.
-const wallClockMargin = 500 * time.Millisecond
-
 // loadJob loads a job's record. A record that cannot be decoded is logged and registered as unreadable.
 func (l *loader) loadJob(entry kv.Entry) error {
 	id := ids.JobID(entry.Key[len(records.JobPrefix):])
--- a/controller/leader/load_test.go
+++ b/controller/leader/load_test.go
@@ -175,3 +175,20 @@
 		t.Errorf("the record of n-2 is %+v, want one that says when it was superseded", last)
 	}
 }
+
+// A term must not end because the response to its first change is lost: the change is repeated, and finds its own
+// record.
+func TestTermBeginsDespiteALostResponse(t *testing.T) {
+	server := startLedStore(t)
+	server.Put(records.LeaderTermKey("n-2"), records.LeaderTerm{Revision: 3})
+	dependencies := testDependencies(t, server.Address())
+	server.LoseResponses(1)
+	recordLoader := &loader{Dependencies: dependencies, term: testTerm(testRevision)}
+	options := scheduler.Options{WallClockMS: time.Now().UnixMilli()}
+	if err := recordLoader.beginTerm(t.Context(), &options); err != nil {
+		t.Fatal(err)
+	}
+	if _, known := options.PreviousLeaders["n-2"]; !known {
+		t.Errorf("previous leaders %v, want n-2", options.PreviousLeaders)
+	}
+}
