Record terminations at most once a second

Placements wait for these writes. Terminations are now recorded together, one record a second unless it is full. Test: TestTerminationsAreRecordedTogether.

--- a/scheduler/termination_records.go
+++ b/scheduler/termination_records.go
@@ -15,6 +15,9 @@
 const (
 	// maxTerminationBatch is the maximum number of machines in the record of one termination.
 	maxTerminationBatch = 50
+	// terminationRecordInterval is the minimum time between two records that are not full. The write rate
+	// is needed for placements.
+	terminationRecordInterval = time.Second
 	// expeditedRecordWait is how long the termination of a machine that holds a task of a cancelled
 	// job waits for its record.
 	expeditedRecordWait = 2 * time.Second
@@ -39,6 +42,8 @@
 	queued []ids.MachineID
 	// batchSize is the maximum number of machines in the next record.
 	batchSize int
+	// recordedAt is the time at which the last record was submitted.
+	recordedAt monotonic.Instant
 	// creations and deletions hold the changes in flight, by ID.
 	creations map[uint64]*terminationBatch
 	deletions map[uint64][]*terminationBatch
@@ -155,7 +160,7 @@
 		r.terminateCancelled = append(r.terminateCancelled, r.waiting[0].machine)
 		r.waiting = r.waiting[1:]
 	}
-	for len(r.queued) > 0 && r.writer.mayWrite() {
+	for r.recordDue() && r.writer.mayWrite() {
 		r.createRecord()
 	}
 	for len(r.confirmed) > 0 && r.writer.mayWrite() {
@@ -163,6 +168,14 @@
 	}
 }
 
+// recordDue reports whether the termination of the first queued machines should be recorded now.
+func (r *terminationRecorder) recordDue() bool {
+	if len(r.queued) == 0 {
+		return false
+	}
+	return len(r.queued) >= r.batchSize || r.clock.Now() >= r.recordedAt.Add(terminationRecordInterval)
+}
+
 // createRecord submits the change that records the termination of the first queued machines.
 func (r *terminationRecorder) createRecord() {
 	count := min(len(r.queued), r.batchSize)
@@ -171,6 +184,7 @@
 	batch := &terminationBatch{nonce: r.writer.nextNonce(), remaining: machines}
 	change := records.CreateTerminationChange(records.Termination{Nonce: batch.nonce, Machines: machines})
 	r.creations[r.writer.submit(change)] = batch
+	r.recordedAt = r.clock.Now()
 }
 
 // deleteRecords submits the change that deletes the first records whose machines are all terminated.
--- a/scheduler/termination_records_test.go
+++ b/scheduler/termination_records_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -66,6 +67,23 @@
 	}
 }
 
+// On a large fleet, machines become idle all the time. If each were recorded by itself, the records would use the
+// write rate that placements need.
+func TestTerminationsAreRecordedTogether(t *testing.T) {
+	h := newRecordingHarness(t)
+	changes := 0
+	for i := range 50 {
+		machine := ids.MachineID(fmt.Sprintf("n-%d", i))
+		h.heartbeat(machine, "a", 0)
+		h.c.registry.terminateMachine(h.c.cluster.Machine(machine), terminateIdle)
+		h.now = h.now.Add(200 * time.Millisecond)
+		changes += len(h.step().RecordChanges)
+	}
+	if changes > 11 {
+		t.Errorf("%d changes in 10 s, want one a second", changes)
+	}
+}
+
 // A machine that an earlier leader has decided to terminate may be terminated at any time. A task that is
 // placed there would be killed.
 func TestMachineOfARecordedTerminationIsNotUsed(t *testing.T) {
