Review, case 5: too many stored jobs end every controller for its memory

With 600,000 jobs that are done in the state service, 74 days at the site's rates, each controller exceeds its 125 MB while it reads them, is ended and started again; an accepted job does not start.

--- a/review/stage/case_nested.go
+++ b/review/stage/case_nested.go
@@ -40,7 +40,7 @@
 	watching, stop := context.WithCancel(ctx)
 	var platform sync.WaitGroup
 	ended := 0
-	platform.Go(func() { ended = s.deployment.enforceMemory(watching) })
+	platform.Go(func() { ended = s.deployment.enforceMemory(watching, 0) })
 	for range 5 {
 		var group sync.WaitGroup
 		for range malformedUsers {
@@ -60,30 +60,6 @@
 	return "", nil
 }
 
-// enforceMemory ends controllers that hold more memory than they are granted, until the context ends. It returns
-// how many.
-func (d *deployment) enforceMemory(ctx context.Context) (ended int) {
-	peaks := map[*controllerProcess]float64{}
-	for monotonic.Sleep(ctx, 5*time.Millisecond) {
-		for _, c := range d.controllers {
-			if c.process == nil {
-				continue
-			}
-			held := residentMB(c.process.Process.Pid)
-			peaks[c] = max(peaks[c], held)
-			if held > d.settings.Resources.RAMMB {
-				d.record.addf("platform: %s holds %.0f MB and is ended", c.name, held)
-				c.kill()
-				ended++
-			}
-		}
-	}
-	for _, c := range d.controllers {
-		d.record.addf("platform: %s held %.0f MB at most", c.name, peaks[c])
-	}
-	return ended
-}
-
 // residentMB returns the memory that a process holds, in MB, or 0 if it is not known.
 func residentMB(pid int) float64 {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
--- a/review/stage/case_small_tasks.go
+++ b/review/stage/case_small_tasks.go
@@ -12,7 +12,7 @@
 
 const (
 	vastLegs     = 4800 // tasks of the array with the disruption
-	modestLegs   = 600 // and without
+	modestLegs   = 600  // and without
 	smallTaskRun = 40 * time.Second
 	// lastPoll is the time of the run after which the job is not polled any more.
 	lastPoll     = 110 * time.Second
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -24,6 +24,8 @@
 	// trouble reports whether the disruption of the case takes place.
 	trouble    bool
 	deployment *deployment
+	// beforeControllers is called before the controllers are started, unless it is nil.
+	beforeControllers func(d *deployment)
 }
 
 // plan holds the size and the settings of a deployment.
@@ -83,6 +85,9 @@
 	}
 	d.users = newUsers(d)
 	d.cloud = newCloudService(d)
+	if s.beforeControllers != nil {
+		s.beforeControllers(d)
+	}
 	for _, c := range d.controllers {
 		if err := d.writeSettings(c); err != nil {
 			return err
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -34,6 +34,7 @@
 	"mistakes":    playMistakes,
 	"swarm":       playSwarm,
 	"nested":      playNested,
+	"stored":      playStored,
 }
 
 func main() {
