--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -117,9 +118,13 @@
 	return nil
 }
 
+// loopbackHost is a loopback address that hardly any other process uses, so that no port of a controller is taken
+// before the controller listens there, also while several cases run side by side.
+var loopbackHost = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", loopbackHost+":0")
 	if err != nil {
 		return "", err
 	}
