Limit the tasks of a machine by the space in its heartbeats

Each machine lost all its tasks at the end of each lease, other jobs' tasks included, and got the same ones again, without an end.

Cause: a heartbeat names every task on its machine, those that have ended too, until they are reaped. Bodies have a limit of 64 KiB, and every controller answers 400 to a larger heartbeat, so the lease is not renewed. Placement limited the tasks of a machine by CPUs, GPUs and memory alone. The refusals were not logged.

Change: the space in the heartbeats is one more resource of a machine, which admission, preemption, reservations, headroom and the autoscaler share. A task takes the JSON size of its longest status, until it is reaped. Provisioning and preemption count what waits for reaping as free. A round is due when scarce space becomes free. A refused heartbeat is logged at level warn.

Why it works: what a machine may report is a subset of its assignments and of what its newest heartbeat shows; both are counted before a task is placed.

--- a/scheduler/class_demand.go
+++ b/scheduler/class_demand.go
@@ -7,6 +7,7 @@
 	"ospreystile.example/ospreystile/monotonic"
 	"ospreystile.example/ospreystile/scheduler/clock"
 	"ospreystile.example/ospreystile/scheduler/cluster"
+	"ospreystile.example/ospreystile/scheduler/placement"
 	"ospreystile.example/ospreystile/wire"
 )
 
@@ -52,7 +53,7 @@
 		}
 	}
 	for class, j := range first {
-		c.byClass[class] = &classDemand{spec: j.Spec}
+		c.byClass[class] = &classDemand{spec: j.Spec, need: j.TaskResources()}
 	}
 	for class, demand := range c.byClass {
 		demand.advance(c.clock.Now())
@@ -63,9 +64,10 @@
 // classDemand holds the recent demand of one class of jobs. Its arrays hold one value for each slot
 // of the window.
 type classDemand struct {
-	spec  *wire.JobSpec // of one job, which represents the class
-	tasks int           // number of tasks that wait or run now
-	slot  int           // number of the current slot, counted from instant 0
+	spec  *wire.JobSpec       // of one job, which represents the class
+	need  placement.Resources // of one task of that job
+	tasks int                 // number of tasks that wait or run now
+	slot  int                 // number of the current slot, counted from instant 0
 	peaks [demandSlots]int
 	// arrivedJobs and arrivedTasks count the jobs that became ready and their tasks.
 	arrivedJobs, arrivedTasks [demandSlots]int
--- a/scheduler/cluster/assignment.go
+++ b/scheduler/cluster/assignment.go
@@ -188,7 +188,7 @@
 	a.Job.active[a.Index] = a
 	a.Job.zones[a.Machine.site.Zone]++
 	a.Machine.add(a)
-	a.Machine.used = a.Machine.used.Plus(placement.TaskResources(a.Job.Spec))
+	a.Machine.used = a.Machine.used.Plus(a.Job.TaskResources())
 	s.quotas.Charge(a.Job.Spec.Team, a.Job.Amount())
 	s.countWorkload(a, 1)
 }
@@ -200,7 +200,7 @@
 	delete(a.Job.active, a.Index)
 	a.Job.removeFromZone(a.Machine.site.Zone)
 	a.Machine.remove(a)
-	a.Machine.used = a.Machine.used.Minus(placement.TaskResources(a.Job.Spec))
+	a.Machine.used = a.Machine.used.Minus(a.Job.TaskResources())
 	if len(a.Machine.byRef) == 0 {
 		a.Machine.used = placement.Resources{}
 		a.Machine.Lifecycle.IdleSince = s.clock.Now()
--- a/scheduler/cluster/cluster_test.go
+++ b/scheduler/cluster/cluster_test.go
@@ -79,3 +79,33 @@
 		t.Error("m-0 is not removed, or WasRemoved is not true for m-0 alone")
 	}
 }
+
+// A task that has ended takes space in the heartbeats until it is reaped. A round must be due once the space
+// is free again: tasks may wait for nothing else, and no other event starts a round.
+func TestReapedTasksMakeRoundDue(t *testing.T) {
+	s := newTestState(t)
+	m := s.Machine("m-1")
+	empty := m.Free().HeartbeatBytes
+	now := s.clock.Now()
+	for index := range 600 {
+		m.Agent.ReportedTasks = append(m.Agent.ReportedTasks, ReportedTask{Ref: ids.TaskRef{Job: "job-2", Index: index}, Attempt: 1, State: wire.TaskEnded})
+	}
+	s.CountUnrecorded(m)
+	if used, want := empty-m.Free().HeartbeatBytes, 600*wire.MaxTaskStatusBytes("job-2"); used != want {
+		t.Errorf("ended tasks take %d bytes of the heartbeats, want %d", used, want)
+	}
+	if after := m.FreeAfterReaping().HeartbeatBytes; after != empty {
+		t.Errorf("%d bytes are free after reaping, want %d", after, empty)
+	}
+	s.rounds.Start(now)
+	m.Agent.ReportedTasks = m.Agent.ReportedTasks[:100]
+	s.CountUnrecorded(m)
+	if !s.rounds.Start(now) {
+		t.Error("no round is due after tasks were reaped")
+	}
+	m.Agent.ReportedTasks = nil
+	s.CountUnrecorded(m)
+	if s.rounds.Start(now) {
+		t.Error("a round is due although there was enough space before")
+	}
+}
--- a/scheduler/cluster/invariants.go
+++ b/scheduler/cluster/invariants.go
@@ -164,18 +164,20 @@
 func (m *Machine) checkResources() error {
 	var used, unrecorded placement.Resources
 	for _, a := range m.assignments {
-		used = used.Plus(placement.TaskResources(a.Job.Spec))
+		used = used.Plus(a.Job.TaskResources())
 	}
 	for _, j := range m.unrecordedJobs {
-		unrecorded = unrecorded.Plus(placement.TaskResources(j.Spec))
+		unrecorded = unrecorded.Plus(j.TaskResources())
 	}
 	switch {
 	case !resourcesAgree(used, m.used):
 		return fmt.Errorf("assignments use %+v, but the stored sum is %+v", used, m.used)
 	case !resourcesAgree(unrecorded, m.unrecorded):
 		return fmt.Errorf("unrecorded tasks use %+v, but the stored sum is %+v", unrecorded, m.unrecorded)
-	case !resourcesAgree(m.total.Minus(used).Minus(unrecorded), m.Free()):
-		return fmt.Errorf("free resources are %+v, but the capacity is %+v with %+v in use", m.Free(), m.total, used.Plus(unrecorded))
+	case !resourcesAgree(m.total.Minus(used).Minus(unrecorded), m.FreeAfterReaping()):
+		return fmt.Errorf("free resources are %+v, but the capacity is %+v with %+v in use", m.FreeAfterReaping(), m.total, used.Plus(unrecorded))
+	case m.FreeAfterReaping().HeartbeatBytes-m.Free().HeartbeatBytes != m.leavingBytes:
+		return fmt.Errorf("%d bytes of the heartbeats are free, and %d after reaping, but tasks that leave take %d", m.Free().HeartbeatBytes, m.FreeAfterReaping().HeartbeatBytes, m.leavingBytes)
 	}
 	return nil
 }
@@ -272,7 +274,8 @@
 
 // resourcesAgree reports whether two sums of resources are equal within sumTolerance.
 func resourcesAgree(a, b placement.Resources) bool {
-	return math.Abs(a.CPUs-b.CPUs) < sumTolerance && math.Abs(a.GPUs-b.GPUs) < sumTolerance && math.Abs(a.MemoryGB-b.MemoryGB) < sumTolerance
+	return math.Abs(a.CPUs-b.CPUs) < sumTolerance && math.Abs(a.GPUs-b.GPUs) < sumTolerance && math.Abs(a.MemoryGB-b.MemoryGB) < sumTolerance &&
+		a.HeartbeatBytes == b.HeartbeatBytes
 }
 
 // amountsAgree reports whether two sums of quota are equal within sumTolerance.
--- a/scheduler/cluster/job.go
+++ b/scheduler/cluster/job.go
@@ -159,6 +159,9 @@
 // Amount returns the quota that one task uses.
 func (j *Job) Amount() quota.Amount { return quota.Amount{CPUs: j.Spec.CPUs, GPUs: j.Spec.GPUs} }
 
+// TaskResources returns the resources that one task needs.
+func (j *Job) TaskResources() placement.Resources { return placement.TaskResources(j.ID, j.Spec) }
+
 // NeedsAllTasks reports whether all pending tasks must be placed together: those of a gang
 // always, those of a service when it starts.
 func (j *Job) NeedsAllTasks() bool {
--- a/scheduler/cluster/machine.go
+++ b/scheduler/cluster/machine.go
@@ -25,6 +25,9 @@
 	// assignment to it, and unrecordedJobs holds the job of each such task.
 	unrecorded     placement.Resources
 	unrecordedJobs []*Job
+	// leavingBytes is the space that tasks take in the newest heartbeat although neither of the sums
+	// counts them: tasks that ended and wait for a reap command, and tasks of unknown jobs.
+	leavingBytes int
 
 	byRef map[ids.TaskRef]*Assignment
 	// assignments holds the same assignments, sorted by job and index. notStopping, replicas and
@@ -171,7 +174,15 @@
 func (m *Machine) Unrecorded() placement.Resources { return m.unrecorded }
 
 // Free returns the capacity that is not in use.
-func (m *Machine) Free() placement.Resources { return m.total.Minus(m.used).Minus(m.unrecorded) }
+func (m *Machine) Free() placement.Resources {
+	return m.FreeAfterReaping().Minus(placement.Resources{HeartbeatBytes: m.leavingBytes})
+}
+
+// FreeAfterReaping returns the capacity that is not in use once the agent has reaped the tasks that
+// have ended, which takes a few heartbeats.
+func (m *Machine) FreeAfterReaping() placement.Resources {
+	return m.total.Minus(m.used).Minus(m.unrecorded)
+}
 
 // Assignments returns the assignments, sorted by job and index. The caller must not modify the list,
 // nor release a task while iterating over it.
--- a/scheduler/cluster/machines.go
+++ b/scheduler/cluster/machines.go
@@ -67,20 +67,32 @@
 	}
 }
 
+// scarceHeartbeatBytes is the free space in a machine's heartbeats below which waiting tasks may not
+// fit for lack of space.
+const scarceHeartbeatBytes = wire.MaxHeartbeatTasksBytes / 2
+
 // CountUnrecorded counts the tasks that the newest heartbeat reports and that have no assignment on
-// the machine: their resources on the machine and their teams' quota.
+// the machine: their resources on the machine and their teams' quota. A task that has ended only
+// takes space in the heartbeats.
 func (s *State) CountUnrecorded(m *Machine) {
+	before := m.Free().HeartbeatBytes
 	s.releaseUnrecorded(m)
 	for i := range m.Agent.ReportedTasks {
 		t := &m.Agent.ReportedTasks[i]
-		if t.State == wire.TaskEnded || m.AssignsAttempt(t) {
+		if m.AssignsAttempt(t) {
 			continue
 		}
-		if j := s.jobs[t.Ref.Job]; j != nil {
-			m.unrecorded = m.unrecorded.Plus(placement.TaskResources(j.Spec))
-			m.unrecordedJobs = append(m.unrecordedJobs, j)
-			s.quotas.Charge(j.Spec.Team, j.Amount())
+		j := s.jobs[t.Ref.Job]
+		if j == nil || t.State == wire.TaskEnded {
+			m.leavingBytes += wire.MaxTaskStatusBytes(t.Ref.Job)
+			continue
 		}
+		m.unrecorded = m.unrecorded.Plus(j.TaskResources())
+		m.unrecordedJobs = append(m.unrecordedJobs, j)
+		s.quotas.Charge(j.Spec.Team, j.Amount())
+	}
+	if free := m.Free().HeartbeatBytes; free > before && before < scarceHeartbeatBytes {
+		s.rounds.MarkDue() // tasks may have waited for the space
 	}
 }
 
@@ -91,6 +103,7 @@
 	}
 	m.unrecordedJobs = m.unrecordedJobs[:0]
 	m.unrecorded = placement.Resources{}
+	m.leavingBytes = 0
 }
 
 // RemoveMachine removes a machine that is known to be terminated. All its tasks must have
--- a/scheduler/fleet/bins.go
+++ b/scheduler/fleet/bins.go
@@ -5,7 +5,6 @@
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/scheduler/placement"
-	"ospreystile.example/ospreystile/wire"
 )
 
 // roundingTolerance absorbs the rounding of a quotient of decimal amounts.
@@ -19,20 +18,19 @@
 }
 
 // accepts reports whether a task fits into the bin and its job may use the site.
-func (b *bin) accepts(s *wire.JobSpec) bool {
-	return placement.TaskResources(s).FitsIn(b.free) && placement.Allowed(s, b.Site)
+func (b *bin) accepts(d Demand) bool {
+	return d.Need.FitsIn(b.free) && placement.Allowed(d.Spec, b.Site)
 }
 
 // fill places as many tasks as fit in the bin, up to limit, counts them in their zone, and returns
 // their number.
-func (b *bin) fill(s *wire.JobSpec, zones placement.TasksByZone, limit int) int {
-	if !b.accepts(s) {
+func (b *bin) fill(d Demand, zones placement.TasksByZone, limit int) int {
+	if !b.accepts(d) {
 		return 0
 	}
-	need := placement.TaskResources(s)
 	n := 0
-	for n < limit && need.FitsIn(b.free) && zones.Allows(s, b.Zone) {
-		b.free = b.free.Minus(need)
+	for n < limit && d.Need.FitsIn(b.free) && zones.Allows(d.Spec, b.Zone) {
+		b.free = b.free.Minus(d.Need)
 		zones[b.Zone]++
 		n++
 	}
@@ -49,25 +47,25 @@
 }
 
 // requirementsOf returns the requirements of a job's tasks.
-func requirementsOf(s *wire.JobSpec) requirements {
+func requirementsOf(d Demand) requirements {
 	var types strings.Builder
-	for _, name := range s.Types {
+	for _, name := range d.Spec.Types {
 		types.WriteString(string(name))
 		types.WriteByte(0)
 	}
-	return requirements{placement.TaskResources(s), s.Spot, s.Zone, types.String()}
+	return requirements{d.Need, d.Spec.Spot, d.Spec.Zone, types.String()}
 }
 
 // maxTasksThatFit is the result of TasksThatFit for tasks that need no resources.
 const maxTasksThatFit = 1 << 20
 
-// TasksThatFit returns how many tasks of a job fit in free resources. It ignores the job's other
-// requirements.
-func TasksThatFit(s *wire.JobSpec, free placement.Resources) int {
+// TasksThatFit returns how many tasks with the given need fit in free resources.
+func TasksThatFit(need, free placement.Resources) int {
 	n := maxTasksThatFit
-	n = min(n, quotient(free.CPUs, s.CPUs))
-	n = min(n, quotient(free.GPUs, s.GPUs))
-	n = min(n, quotient(free.MemoryGB, s.MemoryGB))
+	n = min(n, quotient(free.CPUs, need.CPUs))
+	n = min(n, quotient(free.GPUs, need.GPUs))
+	n = min(n, quotient(free.MemoryGB, need.MemoryGB))
+	n = min(n, quotient(float64(free.HeartbeatBytes), float64(need.HeartbeatBytes)))
 	return max(0, n)
 }
 
--- a/scheduler/fleet/fleet.go
+++ b/scheduler/fleet/fleet.go
@@ -19,6 +19,7 @@
 // resources.
 type Demand struct {
 	Spec  *wire.JobSpec
+	Need  placement.Resources // of each task
 	Count int
 	Zones placement.TasksByZone // the tasks of the job that are already placed
 }
@@ -75,28 +76,28 @@
 		p.MaxMachines--
 		b := &bin{best.site, placement.MachineResources(best.machineType)}
 		p.bins = append(p.bins, b)
-		remaining -= b.fill(d.Spec, zones, remaining)
+		remaining -= b.fill(d, zones, remaining)
 	}
 }
 
 // fillBins packs the tasks of a job into the bins, and returns how many did not fit.
 func (p *Planner) fillBins(d Demand, zones placement.TasksByZone) int {
 	remaining := d.Count
-	for _, b := range p.bins[p.skipFullBins(d.Spec):] {
+	for _, b := range p.bins[p.skipFullBins(d):] {
 		if remaining == 0 {
 			return 0
 		}
 		p.BinsExamined++
-		remaining -= b.fill(d.Spec, zones, remaining)
+		remaining -= b.fill(d, zones, remaining)
 	}
 	return remaining
 }
 
 // skipFullBins returns the index of the first bin that may accept a task of a job.
-func (p *Planner) skipFullBins(s *wire.JobSpec) int {
-	key := requirementsOf(s)
+func (p *Planner) skipFullBins(d Demand) int {
+	key := requirementsOf(d)
 	first := p.firstBin[key]
-	for first < len(p.bins) && !p.bins[first].accepts(s) {
+	for first < len(p.bins) && !p.bins[first].accepts(d) {
 		p.BinsExamined++
 		first++
 	}
--- a/scheduler/fleet/fleet_test.go
+++ b/scheduler/fleet/fleet_test.go
@@ -22,6 +22,14 @@
 	return placement.Site{Type: name, Zone: zone, Spot: true}
 }
 
+// smallMachine is the capacity of an empty machine of the small type.
+var smallMachine = placement.Resources{CPUs: 4, MemoryGB: 16, HeartbeatBytes: wire.MaxHeartbeatTasksBytes}
+
+// demandOf returns a demand for tasks of a job.
+func demandOf(spec wire.JobSpec, count int) Demand {
+	return Demand{Spec: &spec, Need: placement.TaskResources("job-000001", &spec), Count: count}
+}
+
 func TestMachineRequests(t *testing.T) {
 	const enough = 10 // machines
 	for _, c := range []struct {
@@ -32,22 +40,24 @@
 		maxMachines int
 		want        []MachineRequest
 	}{
-		{name: "one task uses the cheapest machine that fits it", demand: Demand{Spec: &wire.JobSpec{CPUs: 2, Spot: true}, Count: 1},
+		{name: "one task uses the cheapest machine that fits it", demand: demandOf(wire.JobSpec{CPUs: 2, Spot: true}, 1),
 			maxMachines: enough, want: []MachineRequest{{spot("small", "a"), 1}}},
-		{name: "many tasks use the machine with the lowest cost per task", demand: Demand{Spec: &wire.JobSpec{CPUs: 2, Spot: true}, Count: 16},
+		{name: "many tasks use the machine with the lowest cost per task", demand: demandOf(wire.JobSpec{CPUs: 2, Spot: true}, 16),
 			maxMachines: enough, want: []MachineRequest{{spot("large", "a"), 1}}},
-		{name: "job that may not use spot instances uses on-demand machines", demand: Demand{Spec: &wire.JobSpec{CPUs: 4}, Count: 1},
+		{name: "job that may not use spot instances uses on-demand machines", demand: demandOf(wire.JobSpec{CPUs: 4}, 1),
 			maxMachines: enough, want: []MachineRequest{{onDemand("small", "a"), 1}}},
-		{name: "large tasks fit only on large machines", demand: Demand{Spec: &wire.JobSpec{CPUs: 8}, Count: 5},
+		{name: "large tasks fit only on large machines", demand: demandOf(wire.JobSpec{CPUs: 8}, 5),
 			maxMachines: enough, want: []MachineRequest{{onDemand("large", "a"), 2}}},
-		{name: "booting machines are filled first", demand: Demand{Spec: &wire.JobSpec{CPUs: 2}, Count: 3},
-			booting: []placement.Resources{{CPUs: 4, MemoryGB: 16}}, maxMachines: enough, want: []MachineRequest{{onDemand("small", "a"), 1}}},
-		{name: "no machine beyond the maximum", demand: Demand{Spec: &wire.JobSpec{CPUs: 4}, Count: 5}},
-		{name: "no machine at a blocked site", demand: Demand{Spec: &wire.JobSpec{CPUs: 4}, Count: 1}, blocked: "a",
+		{name: "booting machines are filled first", demand: demandOf(wire.JobSpec{CPUs: 2}, 3),
+			booting: []placement.Resources{smallMachine}, maxMachines: enough, want: []MachineRequest{{onDemand("small", "a"), 1}}},
+		{name: "no machine beyond the maximum", demand: demandOf(wire.JobSpec{CPUs: 4}, 5)},
+		{name: "no machine at a blocked site", demand: demandOf(wire.JobSpec{CPUs: 4}, 1), blocked: "a",
 			maxMachines: enough, want: []MachineRequest{{onDemand("small", "b"), 1}}},
-		{name: "spread job uses two zones", demand: Demand{Spec: &wire.JobSpec{CPUs: 4, Spread: true, Tasks: 2}, Count: 2},
+		{name: "spread job uses two zones", demand: demandOf(wire.JobSpec{CPUs: 4, Spread: true, Tasks: 2}, 2),
+			maxMachines: enough, want: []MachineRequest{{onDemand("small", "a"), 1}, {onDemand("small", "b"), 1}}},
+		{name: "tasks that fill the heartbeats of a machine need another one", demand: demandOf(wire.JobSpec{CPUs: 0.001}, 1000),
 			maxMachines: enough, want: []MachineRequest{{onDemand("small", "a"), 1}, {onDemand("small", "b"), 1}}},
-		{name: "no machine for a task that fits on no type", demand: Demand{Spec: &wire.JobSpec{CPUs: 64}, Count: 1}, maxMachines: enough},
+		{name: "no machine for a task that fits on no type", demand: demandOf(wire.JobSpec{CPUs: 64}, 1), maxMachines: enough},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			blocked := func(s placement.Site) bool { return s.Zone == c.blocked }
@@ -68,16 +78,16 @@
 	const machines, jobs = 4000, 2000
 	p := &Planner{Types: types, Blocked: func(placement.Site) bool { return true }, MachinesBySite: map[placement.Site]int{}, MaxMachines: machines}
 	for range machines {
-		p.AddCapacity(onDemand("small", "a"), placement.Resources{CPUs: 4, MemoryGB: 16})
+		p.AddCapacity(onDemand("small", "a"), smallMachine)
 	}
-	spec := &wire.JobSpec{CPUs: 2, MemoryGB: 1}
+	demand := demandOf(wire.JobSpec{CPUs: 2, MemoryGB: 1}, 10)
 	for range jobs {
-		p.Add(Demand{Spec: spec, Count: 10})
+		p.Add(demand)
 	}
 	if most := 3 * (machines + jobs); p.BinsExamined > most {
 		t.Errorf("examined %d bins, want at most %d", p.BinsExamined, most)
 	}
-	if full := p.firstBin[requirementsOf(spec)]; full != machines {
+	if full := p.firstBin[requirementsOf(demand)]; full != machines {
 		t.Errorf("%d bins are skipped as full, want all %d", full, machines)
 	}
 }
--- a/scheduler/fleet/offers.go
+++ b/scheduler/fleet/offers.go
@@ -63,7 +63,7 @@
 	if site.Spot {
 		price = t.SpotPrice
 	}
-	perMachine := max(1, TasksThatFit(d.Spec, placement.MachineResources(t)))
+	perMachine := max(1, TasksThatFit(d.Need, placement.MachineResources(t)))
 	tasks := min(perMachine, max(1, d.Count))
 	cost := price / float64(tasks)
 	return cost * (1 + spreadSurcharge*float64(p.MachinesBySite[site]+p.requests[site]))
--- a/scheduler/headroom.go
+++ b/scheduler/headroom.go
@@ -10,7 +10,6 @@
 	"ospreystile.example/ospreystile/scheduler/cluster"
 	"ospreystile.example/ospreystile/scheduler/fleet"
 	"ospreystile.example/ospreystile/scheduler/placement"
-	"ospreystile.example/ospreystile/wire"
 )
 
 const (
@@ -46,9 +45,9 @@
 func (h *headroom) addTo(planner *fleet.Planner) {
 	for _, demand := range h.demands() {
 		wanted := h.wantedTasks(demand)
-		missing := wanted - h.freeTasks(demand.spec, wanted)
+		missing := wanted - h.freeTasks(demand, wanted)
 		if missing > 0 {
-			planner.Add(fleet.Demand{Spec: demand.spec, Count: missing})
+			planner.Add(fleet.Demand{Spec: demand.spec, Need: demand.need, Count: missing})
 		}
 	}
 }
@@ -77,16 +76,16 @@
 	return int(math.Ceil(wanted)) + extraHeadroomTasks
 }
 
-// freeTasks returns how many tasks of a job fit on usable machines. It stops counting when the
+// freeTasks returns how many tasks of a class fit on usable machines. It stops counting when the
 // count reaches needed.
-func (h *headroom) freeTasks(spec *wire.JobSpec, needed int) int {
+func (h *headroom) freeTasks(demand *classDemand, needed int) int {
 	n := 0
 	for _, m := range h.cluster.Machines() {
 		if n >= needed {
 			break
 		}
-		if h.health.usable(m) && placement.Allowed(spec, m.Site()) {
-			n += fleet.TasksThatFit(spec, m.Free())
+		if h.health.usable(m) && placement.Allowed(demand.spec, m.Site()) {
+			n += fleet.TasksThatFit(demand.need, m.FreeAfterReaping())
 		}
 	}
 	return n
@@ -95,29 +94,29 @@
 // headroomSurplus holds by how many tasks the free resources for a class exceed the headroom that
 // the class should have.
 type headroomSurplus struct {
-	spec  *wire.JobSpec
-	tasks int // negative if headroom is missing
+	demand *classDemand
+	tasks  int // negative if headroom is missing
 }
 
 // surpluses returns the surplus of each latency-sensitive class with a recorded demand.
 func (h *headroom) surpluses() []headroomSurplus {
 	var surpluses []headroomSurplus
 	for _, demand := range h.demands() {
-		tasks := h.freeTasks(demand.spec, math.MaxInt) - h.wantedTasks(demand)
-		surpluses = append(surpluses, headroomSurplus{spec: demand.spec, tasks: tasks})
+		tasks := h.freeTasks(demand, math.MaxInt) - h.wantedTasks(demand)
+		surpluses = append(surpluses, headroomSurplus{demand: demand, tasks: tasks})
 	}
 	return surpluses
 }
 
 // tasksOn returns how many tasks of the class fit on a machine.
 func (s *headroomSurplus) tasksOn(m *cluster.Machine) int {
-	if !placement.Allowed(s.spec, m.Site()) {
+	if !placement.Allowed(s.demand.spec, m.Site()) {
 		return 0
 	}
-	return fleet.TasksThatFit(s.spec, m.Free())
+	return fleet.TasksThatFit(s.demand.need, m.FreeAfterReaping())
 }
 
 // needs reports whether headroom would be missing without a machine.
 func (s *headroomSurplus) needs(m *cluster.Machine) bool {
-	return placement.Allowed(s.spec, m.Site()) && fleet.TasksThatFit(s.spec, m.Free()) > s.tasks
+	return placement.Allowed(s.demand.spec, m.Site()) && s.tasksOn(m) > s.tasks
 }
--- a/scheduler/placement/placement.go
+++ b/scheduler/placement/placement.go
@@ -54,7 +54,8 @@
 // Fits reports whether the job may use a machine type, and a task of the job fits on an empty machine
 // of that type.
 func Fits(s *wire.JobSpec, t *wire.MachineType) bool {
-	return allowsType(s, t.Name) && TaskResources(s).FitsIn(MachineResources(t))
+	// A single task never exceeds the space in the heartbeats, whatever the job's ID.
+	return allowsType(s, t.Name) && TaskResources("", s).FitsIn(MachineResources(t))
 }
 
 // TasksByZone holds the number of a job's tasks in each zone, including tasks that may still run. The
--- a/scheduler/preemption/cheapest_plan.go
+++ b/scheduler/preemption/cheapest_plan.go
@@ -1,7 +1,5 @@
 package preemption
 
-import "ospreystile.example/ospreystile/scheduler/placement"
-
 // cheapestPlan returns the cheapest plan within a scope, or nil. All machines are examined once per
 // job and scope. Afterwards only the cheapest listed plan is updated before it is used: costs only
 // rise during a round, so if its cost has not risen, no other plan is cheaper.
@@ -26,7 +24,7 @@
 func (p *planner) listPlans(scope preemptionScope) {
 	const initialCapacity = 16
 	p.plans, p.plansScope = make([]plan, 0, initialCapacity), scope
-	need := placement.TaskResources(p.job.Spec)
+	need := p.job.TaskResources()
 	preemptible := p.round.anyPreemptible(p.job, scope)
 	for _, m := range p.round.candidates {
 		if !preemptible && !need.FitsIn(p.round.machineState(m).ExpectedFree) {
--- a/scheduler/preemption/fixture_test.go
+++ b/scheduler/preemption/fixture_test.go
@@ -132,7 +132,7 @@
 func (s *fakeScheduler) MayUse(_ *cluster.Job, m *cluster.Machine) bool { return !s.unusable[m.ID] }
 
 func (*fakeScheduler) RequestClass(j *cluster.Job, _ placement.TasksByZone) (RequestClass, bool) {
-	return placement.TaskResources(j.Spec), true
+	return j.TaskResources(), true
 }
 
 func (s *fakeScheduler) RunTime(a *cluster.Assignment) time.Duration {
--- a/scheduler/preemption/plan.go
+++ b/scheduler/preemption/plan.go
@@ -38,7 +38,7 @@
 	if !placement.Allowed(p.job.Spec, m.Site()) || !p.scheduler.MayUse(p.job, m) {
 		return plan{}, false
 	}
-	need := placement.TaskResources(p.job.Spec)
+	need := p.job.TaskResources()
 	fits := p.plansScope != scopeOwnTeam && need.FitsIn(p.round.machineState(m).ExpectedFree)
 	hasImage := m.HasImage(p.job.Spec.Image)
 	if fits && (hasImage || !p.scheduler.LatencySensitive(p.job)) {
--- a/scheduler/preemption/planner.go
+++ b/scheduler/preemption/planner.go
@@ -102,7 +102,7 @@
 	for _, a := range planned.victims {
 		totals.victims[a] = true
 		totals.free(a.Job.Spec.Team, a.Job.Amount())
-		machineState.ExpectedFree = machineState.ExpectedFree.Plus(placement.TaskResources(a.Job.Spec))
+		machineState.ExpectedFree = machineState.ExpectedFree.Plus(a.Job.TaskResources())
 	}
-	machineState.ExpectedFree = machineState.ExpectedFree.Minus(placement.TaskResources(p.job.Spec))
+	machineState.ExpectedFree = machineState.ExpectedFree.Minus(p.job.TaskResources())
 }
--- a/scheduler/preemption/round.go
+++ b/scheduler/preemption/round.go
@@ -62,10 +62,10 @@
 
 // freeOnceStopped returns the resources that are free on a machine once all stopping tasks have ended.
 func freeOnceStopped(m *cluster.Machine) placement.Resources {
-	free := m.Free()
+	free := m.FreeAfterReaping()
 	for _, a := range m.Assignments() {
 		if a.StopReason() != cluster.StopNone {
-			free = free.Plus(placement.TaskResources(a.Job.Spec))
+			free = free.Plus(a.Job.TaskResources())
 		}
 	}
 	return free
--- a/scheduler/preemption/victims.go
+++ b/scheduler/preemption/victims.go
@@ -75,7 +75,7 @@
 	}
 	s.victims = append(s.victims, a)
 	s.cost += v.Cost
-	s.free = s.free.Plus(placement.TaskResources(a.Job.Spec))
+	s.free = s.free.Plus(a.Job.TaskResources())
 	s.missingQuota = s.missingQuota.Minus(a.Job.Amount())
 	return true
 }
@@ -96,5 +96,5 @@
 
 // sufficient reports whether the victims free enough resources and quota for the task.
 func (s *victimSelection) sufficient() bool {
-	return placement.TaskResources(s.job.Spec).FitsIn(s.free) && s.missingQuota.FitsIn(quota.Amount{})
+	return s.job.TaskResources().FitsIn(s.free) && s.missingQuota.FitsIn(quota.Amount{})
 }
--- a/scheduler/reference_model_test.go
+++ b/scheduler/reference_model_test.go
@@ -250,7 +250,7 @@
 			break
 		}
 		r.placed[ids.TaskRef{Job: a.job.ID, Index: i}] = best
-		r.free[best.ID] = r.free[best.ID].Minus(placement.TaskResources(a.job.Spec))
+		r.free[best.ID] = r.free[best.ID].Minus(a.job.TaskResources())
 		r.used[a.job.Spec.Team] = r.used[a.job.Spec.Team].Plus(a.job.Amount())
 		got = append(got, i)
 	}
@@ -262,7 +262,7 @@
 	for _, i := range tasks {
 		ref := ids.TaskRef{Job: j.ID, Index: i}
 		machine := r.placed[ref].ID
-		r.free[machine] = r.free[machine].Plus(placement.TaskResources(j.Spec))
+		r.free[machine] = r.free[machine].Plus(j.TaskResources())
 		r.used[j.Spec.Team] = r.used[j.Spec.Team].Minus(j.Amount())
 		delete(r.placed, ref)
 	}
@@ -287,7 +287,7 @@
 
 // canHost reports whether the site, the free resources and the zone of a machine allow a task of a job.
 func (r *referenceModel) canHost(m *cluster.Machine, j *cluster.Job, zones placement.TasksByZone) bool {
-	return placement.Allowed(j.Spec, m.Site()) && placement.TaskResources(j.Spec).FitsIn(r.free[m.ID]) && zones.Allows(j.Spec, m.Zone())
+	return placement.Allowed(j.Spec, m.Site()) && j.TaskResources().FitsIn(r.free[m.ID]) && zones.Allows(j.Spec, m.Zone())
 }
 
 // reservedForOther reports whether a machine is reserved for another job that precedes this one.
--- a/scheduler/replacements.go
+++ b/scheduler/replacements.go
@@ -33,13 +33,13 @@
 	}
 	for _, m := range r.cluster.Machines() {
 		if r.health.takesTasks(m) {
-			planner.AddCapacity(m.Site(), m.Free())
+			planner.AddCapacity(m.Site(), m.FreeAfterReaping())
 		}
 	}
 	for _, m := range atRisk {
 		for _, a := range m.Assignments() {
 			if a.Job.Spec.Service && a.StopReason() == cluster.StopNone {
-				planner.Add(fleet.Demand{Spec: a.Job.Spec, Count: 1})
+				planner.Add(fleet.Demand{Spec: a.Job.Spec, Need: a.Job.TaskResources(), Count: 1})
 			}
 		}
 	}
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -119,7 +119,7 @@
 // reserved for any job. The result is the number of machines added. Hundreds of jobs may wait,
 // so the machines are listed only for jobs that need more of them and only below the limit.
 func (r *reservations) reserve(j *cluster.Job, n int, own []*cluster.Machine, reserved int) (added int) {
-	need := placement.TaskResources(j.Spec)
+	need := j.TaskResources()
 	zones := placement.TasksByZone{}
 	countTasksOn := func(m *cluster.Machine) {
 		for remaining := m.Total(); n > 0 && need.FitsIn(remaining) && zones.Allows(j.Spec, m.Zone()); n-- {
@@ -154,7 +154,7 @@
 // reservable returns the unreserved machines that could hold a task of a job if they were empty, in
 // descending order of free CPUs.
 func (r *reservations) reservable(j *cluster.Job) []*cluster.Machine {
-	need := placement.TaskResources(j.Spec)
+	need := j.TaskResources()
 	r.candidates.examined += uint64(len(r.candidates.machines))
 	var machines []*cluster.Machine
 	for _, m := range r.candidates.machines {
--- a/scheduler/scenarios_test.go
+++ b/scheduler/scenarios_test.go
@@ -325,6 +325,20 @@
 			s.failOver()
 		}
 	}},
+	{"an array of more tasks than the heartbeats of its machines have space for", func(s *scenario) {
+		s.opt.SliceTasks, s.opt.MaxTxnOps, s.opt.WriteRate = 64, 32, 100
+		s.capacity = 1
+		s.failOver()
+		s.submitJobs(1, func(spec *wire.JobSpec) {
+			asArray(spec)
+			spec.Tasks, spec.CPUs, spec.MemoryGB, spec.Types, spec.Zone, spec.Spot = 1200, 0.01, 0.01, []ids.MachineType{"big"}, "c", false
+		})
+		s.submitJobs(4, nil)
+		s.run(40 * second)
+		s.cancel(s.jobs[len(s.jobs)-1])
+		s.failOver()
+		s.run(30 * second)
+	}},
 	{"commands or their responses are delayed until a machine no longer hangs", func(s *scenario) {
 		for range 6 {
 			s.submitJobs(5, nil)
--- a/scheduler/search.go
+++ b/scheduler/search.go
@@ -55,7 +55,7 @@
 		// result.
 		return placementRequest{}, false
 	}
-	request = placementRequest{resources: placement.TaskResources(spec), priority: j.Priority(), spot: spec.Spot, zone: spec.Zone}
+	request = placementRequest{resources: j.TaskResources(), priority: j.Priority(), spot: spec.Spot, zone: spec.Zone}
 	if s.needsImage(j) {
 		request.image = spec.Image
 	}
@@ -127,7 +127,7 @@
 
 // newSearch returns a search that ranks the machines on which a task of a job may be placed.
 func (s *searcher) newSearch(j *cluster.Job) *candidateSearch {
-	search := &candidateSearch{searcher: s, job: j, need: placement.TaskResources(j.Spec)}
+	search := &candidateSearch{searcher: s, job: j, need: j.TaskResources()}
 	if j.Spec.Service {
 		search.replicasOn = map[*cluster.Machine]int{}
 		for _, a := range j.Active() {
--- a/scheduler/sim_rules_test.go
+++ b/scheduler/sim_rules_test.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// checkHeartbeatSize checks that a heartbeat does not exceed the size limit for bodies, and reports whether
+// that holds.
+func (s *sim) checkHeartbeatSize(heartbeat *wire.Heartbeat) bool {
+	const certainlySmall = 300 // tasks
+	if len(heartbeat.Tasks) <= certainlySmall || !wire.ExceedsJSONSize(heartbeat, wire.MaxBodyBytes) {
+		return true
+	}
+	s.recordViolation("heartbeat: %s reports %d tasks, which exceeds the size limit", heartbeat.Machine, len(heartbeat.Tasks))
+	return false
+}
+
 // running returns the placements of a job whose tasks run on a worker with a valid lease.
 func (s *sim) running(id ids.JobID) []simPlacement {
 	var out []simPlacement
--- a/scheduler/sim_worker_test.go
+++ b/scheduler/sim_worker_test.go
@@ -82,7 +82,9 @@
 		w.token = batch.FencingToken
 		s.execute(w, batch.Commands)
 	}
-	return w.nextHeartbeat()
+	heartbeat := w.nextHeartbeat()
+	s.checkHeartbeatSize(heartbeat)
+	return heartbeat
 }
 
 // execute executes commands. Each command may arrive more than once.
@@ -224,6 +226,9 @@
 	w.heartbeatInFlight, w.lastHeartbeatAt, w.statusChanged = true, s.now, false
 	call := &heartbeatCall{sim: s, worker: w, sentAt: s.now, incarnation: w.incarnation, heartbeat: w.nextHeartbeat()}
 	s.after(simHeartbeatTimeout, call.finish)
+	if !s.checkHeartbeatSize(call.heartbeat) {
+		return // every controller refuses it
+	}
 	lost := s.now < max(w.partitionedUntil, w.heartbeatsLostUntil, s.controllersDownUntil)
 	if lost || s.reachesOnlyPreviousLeader(w) && s.previousCore == nil {
 		return
--- a/scheduler/waiting_demand.go
+++ b/scheduler/waiting_demand.go
@@ -86,7 +86,7 @@
 		demand.jobs = append(demand.jobs, j)
 	}
 	demand.tasks[j] += n
-	tasks := fleet.Demand{Spec: j.Spec, Count: n, Zones: j.Zones()}
+	tasks := fleet.Demand{Spec: j.Spec, Need: j.TaskResources(), Count: n, Zones: j.Zones()}
 	if w.urgent(j) {
 		demand.urgent = append(demand.urgent, tasks)
 	} else {
@@ -125,11 +125,11 @@
 // freeSoon returns the resources that are expected to be free on a machine before another machine of
 // its type could have booted, according to the run time estimates.
 func (w *waitingDemand) freeSoon(m *cluster.Machine) placement.Resources {
-	free := m.Free()
+	free := m.FreeAfterReaping()
 	deadline := w.clock.Now().Add(monotonic.Seconds(freeSoonFraction * m.MachineType().BootS))
 	for _, a := range m.Assignments() {
 		if w.endsBy(a, deadline) {
-			free = free.Plus(placement.TaskResources(a.Job.Spec))
+			free = free.Plus(a.Job.TaskResources())
 		}
 	}
 	return free
--- a/scheduler/zone_provisioning.go
+++ b/scheduler/zone_provisioning.go
@@ -46,7 +46,7 @@
 	}
 	for _, m := range g.cluster.Machines() {
 		if g.recovering(m.Zone()) && g.health.takesTasks(m) {
-			add(m.Site(), m.Free())
+			add(m.Site(), m.FreeAfterReaping())
 		}
 	}
 }
--- a/scheduler/zone_restore.go
+++ b/scheduler/zone_restore.go
@@ -121,7 +121,7 @@
 // fitsWithoutFetch reports whether a machine has free resources for a task of a job, holds its
 // image, and may be used for it.
 func (g *zoneGate) fitsWithoutFetch(j *cluster.Job, m *cluster.Machine) bool {
-	fits := m.HasImage(j.Spec.Image) && placement.TaskResources(j.Spec).FitsIn(m.Free())
+	fits := m.HasImage(j.Spec.Image) && j.TaskResources().FitsIn(m.Free())
 	if !fits || !placement.Allowed(j.Spec, m.Site()) || !g.health.takesTasks(m) {
 		return false
 	}
--- a/server/connections_test.go
+++ b/server/connections_test.go
@@ -6,17 +6,29 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/gofiber/fiber/v3"
+
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/wire"
 )
 
 // startServer starts a server that runs until the test ends, and returns its address.
 func startServer(t *testing.T, service Service, limits Limits) string {
+	t.Helper()
+	address, stop := serveApp(t, newApp(service, limits))
+	t.Cleanup(stop)
+	return address
+}
+
+// serveApp serves an application on loopback until stop is called.
+func serveApp(t *testing.T, app *fiber.App) (address string, stop func()) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -24,12 +36,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- Serve(ctx, newApp(service, limits), listener) }()
-	t.Cleanup(func() {
+	go func() { served <- Serve(ctx, app, listener) }()
+	return listener.Addr().String(), func() {
 		cancel()
 		<-served
-	})
-	return listener.Addr().String()
+	}
 }
 
 // newClient returns a client with its own connections, which are closed when the test ends.
@@ -96,18 +107,37 @@
 // never responds here, because only the header is sent.
 func TestTooLargeBodyIsRejectedBeforeReading(t *testing.T) {
 	address := startServer(t, &fakeService{}, Limits{MaxConnections: 10, IdleTimeout: time.Minute})
+	if status := postTooLargeHeader(t, address, "/api/jobs"); status != http.StatusBadRequest {
+		t.Errorf("status %d", status)
+	}
+}
+
+// A machine whose heartbeats are refused loses all its tasks, so the log must say why.
+func TestTooLargeHeartbeatIsLogged(t *testing.T) {
+	var lines bytes.Buffer
+	app := New(&fakeService{}, Limits{MaxConnections: 10, IdleTimeout: time.Minute}, slog.New(slog.NewTextHandler(&lines, nil)))
+	address, stop := serveApp(t, app)
+	status := postTooLargeHeader(t, address, heartbeatPath)
+	stop()
+	if got := lines.String(); status != http.StatusBadRequest || !strings.Contains(got, "level=WARN") || !strings.Contains(got, "heartbeat rejected") {
+		t.Errorf("status %d, log %q", status, got)
+	}
+}
+
+// postTooLargeHeader sends the header of a request whose body is above the limit, and returns the status of
+// the response.
+func postTooLargeHeader(t *testing.T, address, path string) int {
+	t.Helper()
 	connection, err := net.Dial("tcp4", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer connection.Close()
-	fmt.Fprintf(connection, "POST /api/jobs HTTP/1.1\r\nHost: n\r\nContent-Type: application/msgpack\r\nContent-Length: %d\r\n\r\n", wire.MaxBodyBytes+1)
+	fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: n\r\nContent-Type: application/msgpack\r\nContent-Length: %d\r\n\r\n", path, wire.MaxBodyBytes+1)
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	response.Body.Close()
-	if response.StatusCode != http.StatusBadRequest {
-		t.Errorf("status %d", response.StatusCode)
-	}
+	return response.StatusCode
 }
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// heartbeatPath is the path of workers' heartbeats.
+	heartbeatPath = "/hello"
 	// workerConnectionFraction is the fraction of MaxConnections up to which connections of
 	// workers are kept open. Above it they are closed after the response: there may be more
 	// workers than sockets, each must send a heartbeat within its lease, and users and health
@@ -41,6 +43,9 @@
 	switch status {
 	case fiber.StatusRequestEntityTooLarge:
 		status = fiber.StatusBadRequest // the protocol's status for a body above the limit
+		if c.Path() == heartbeatPath {
+			h.log.Warn("heartbeat rejected", "address", c.IP(), "err", err)
+		}
 	case fiber.StatusMethodNotAllowed:
 		status = fiber.StatusNotFound
 	case fiber.StatusInternalServerError:
@@ -104,6 +109,7 @@
 	raw := bytes.Clone(c.Body()) // the framework reuses the body's memory
 	heartbeat, err := wire.ParseHeartbeat(raw)
 	if err != nil {
+		h.log.Warn("heartbeat rejected", "address", c.IP(), "err", err)
 		return send(c, Response{Status: fiber.StatusBadRequest})
 	}
 	open := float64(c.App().Server().GetOpenConnectionsCount())
--- a/server/server.go
+++ b/server/server.go
@@ -52,7 +52,7 @@
 	app.Post("/api/jobs", h.submit)
 	app.Get("/api/jobs/:id", h.jobHandler(service.Status))
 	app.Post("/api/jobs/:id/withdraw", h.jobHandler(service.Cancel))
-	app.Post("/hello", h.heartbeat)
+	app.Post(heartbeatPath, h.heartbeat)
 	return app
 }
 
--- a/wire/workers.go
+++ b/wire/workers.go
@@ -74,6 +74,21 @@
 	Tasks       []TaskStatus `msgpack:"legs"`
 }
 
+const (
+	// heartbeatHeaderBytes bounds the size of all fields of a heartbeat but its tasks, in bytes of JSON.
+	heartbeatHeaderBytes = 1 << 10
+	// MaxHeartbeatTasksBytes is the space for the tasks in a heartbeat, in bytes of JSON, the form in
+	// which the protocol measures bodies. A heartbeat with more is larger than MaxBodyBytes, and no
+	// controller accepts it.
+	MaxHeartbeatTasksBytes = MaxBodyBytes - heartbeatHeaderBytes
+	// longestTaskStatus is the JSON form of the longest task status and its separator, without the job ID.
+	longestTaskStatus = `{"leg":"/99999","try":9999999999,"status":"flushing","cause":"stopped","stored":false},`
+)
+
+// MaxTaskStatusBytes returns the space that a task of a job takes in a heartbeat at most, in bytes of
+// JSON. Its MessagePack form is not larger.
+func MaxTaskStatusBytes(id ids.JobID) int { return len(longestTaskStatus) + len(id) }
+
 // ParseHeartbeat decodes a heartbeat, which must name its machine and incarnation. Every error
 // wraps ErrMalformedBody.
 func ParseHeartbeat(body []byte) (*Heartbeat, error) {
--- a/wire/workers_test.go
+++ b/wire/workers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"ospreystile.example/ospreystile/ids"
@@ -50,3 +51,33 @@
 		})
 	}
 }
+
+// A heartbeat with as many tasks as MaxTaskStatusBytes allows must not exceed the limit for bodies, whatever
+// the states of the tasks. Otherwise every controller refuses it, and the machine loses all its tasks.
+func TestHeartbeatsWithinTheirSpaceFitInABody(t *testing.T) {
+	longest := ids.JobID("job-" + strings.Repeat("x", maxJobIDLength-len("job-")))
+	states := []TaskState{TaskFetching, TaskRunning, TaskCheckpointing, TaskEnded}
+	causes := []ExitCause{"", CauseDone, CauseStopped, CauseError, CauseFull, CauseInUse, CauseNoSuch}
+	for _, job := range []ids.JobID{"job-1", "job-000412", longest} {
+		for _, state := range states {
+			for _, cause := range causes {
+				checkFullHeartbeat(t, job, TaskStatus{Attempt: 9_999_999_999, State: state, Cause: cause})
+			}
+		}
+	}
+}
+
+// checkFullHeartbeat checks the size of a heartbeat with as many tasks of a job as it has space for.
+func checkFullHeartbeat(t *testing.T, job ids.JobID, status TaskStatus) {
+	t.Helper()
+	heartbeat := Heartbeat{Machine: "n-000231", Endpoint: "10.1.0.232:9000", Type: "g8", Zone: "a", Incarnation: 1 << 63, Sequence: 1 << 63, FencingToken: 1 << 63}
+	for index := range MaxHeartbeatTasksBytes / MaxTaskStatusBytes(job) {
+		status.Name = ids.TaskRef{Job: job, Index: maxTasks - 1 - index}.String()
+		heartbeat.Tasks = append(heartbeat.Tasks, status)
+	}
+	raw := Encode(heartbeat)
+	size, err := JSONSize(raw)
+	if err != nil || size > MaxBodyBytes || len(raw) > MaxBodyBytes {
+		t.Errorf("%d tasks of a job with an ID of %d bytes, %s %q: %d bytes of JSON, %d of MessagePack, %v", len(heartbeat.Tasks), len(job), status.State, status.Cause, size, len(raw), err)
+	}
+}
