Raise the token when an attempt has ended, not when it is reaped

What callers would see: a task that was stopped or failed starts again on the machine that it left, while it runs elsewhere.

Cause: the token was raised above the direct call that had started an attempt when the attempt was reaped, which waits until its end is recorded. The task may start elsewhere before. An agent that restarts in between and keeps its token forgets the attempt, and a late copy of the call starts it again.

The new TestEndedAttemptIsNotStartedAgainAfterARestart fails without it.

Change: the answer to the heartbeat that shows the end of an attempt, unless its task is done, carries a token above those of all direct calls with run commands.

--- a/scheduler/agent_restarts_test.go
+++ b/scheduler/agent_restarts_test.go
@@ -267,3 +267,20 @@
 		})
 	}
 }
+
+// A task that failed starts elsewhere before its earlier attempt is reaped. An agent that keeps its token but
+// forgets its tasks in a restart must not start that attempt again for a late duplicate of the call.
+func TestEndedAttemptIsNotStartedAgainAfterARestart(t *testing.T) {
+	a := newRestartingAgent(newHarness(t, Options{}))
+	started := a.lastBatch
+	a.tasks[0].State, a.tasks[0].Cause = wire.TaskEnded, wire.CauseError
+	a.sendHeartbeat()
+	if len(a.tasks) == 0 {
+		t.Fatal("the attempt was reaped before its end was recorded")
+	}
+	a.restart()
+	a.receive(started)
+	if len(a.tasks) > 0 {
+		t.Errorf("a late duplicate started %+v", a.tasks)
+	}
+}
--- a/scheduler/heartbeats.go
+++ b/scheduler/heartbeats.go
@@ -80,6 +80,8 @@
 	machineQueue
 	fencingToken(m *cluster.Machine) ids.FencingToken
 	answerHeartbeat(m *cluster.Machine) wire.HeartbeatResponse
+	// invalidateDirectRuns raises the token of the machine above those of all direct calls with run commands.
+	invalidateDirectRuns(m *cluster.Machine)
 	// allowCalls allows calls to the machine again after its last call failed.
 	allowCalls(m *cluster.Machine)
 }
@@ -314,5 +316,8 @@
 	case wire.CauseNoSuch:
 		j.Queue.RetryAt = h.clock.Now().Add(unknownTaskBackoff)
 	}
+	// The task may now start elsewhere. An agent that restarts forgets that the attempt has ended, and
+	// would start it again for a late duplicate of the call.
+	h.commands.invalidateDirectRuns(m)
 	h.lifecycle.release(a)
 }
