Simulation: an answer does not revive an expired lease

PROTOCOL, "Leases": when the last answered report was sent more than lease_s ago, the worker kills and forgets all its tasks; responses to reports from an earlier session are dropped. The answer is now dropped then. The checks are unchanged.

--- a/scheduler/sim_worker_test.go
+++ b/scheduler/sim_worker_test.go
@@ -352,10 +352,10 @@
 }
 
 // receive delivers the response to the worker. It renews the lease from the time at which the heartbeat
-// was sent.
+// was sent, unless the lease has expired: the worker has then begun its next incarnation, or is about to.
 func (c *heartbeatCall) receive(response wire.HeartbeatResponse) {
 	w := c.worker
-	if c.finished || w.dead || c.now < max(w.partitionedUntil, w.commandsLostUntil, w.hungUntil) {
+	if c.finished || c.leaseExpired(w) || c.now < max(w.partitionedUntil, w.commandsLostUntil, w.hungUntil) {
 		return
 	}
 	c.finish()
