Terminate for cancellations only if they were known under the lease

Cause: a machine with a cancelled job's task may be terminated without the lease, since the later leader places nothing on a machine that held a task of a cancelled job when its term began. A leader without the store also learns of cancellations that were made later, from controllers that still follow it; by then the later leader may use the machine.

Change: only a cancellation that was observed before the lease was last found valid gives the right. It was committed before any later leader was elected, which has read it. A leader acknowledges a cancellation only if its event loop finds the lease valid after the core has observed it, in the same step, so each cancellation that a user was told of gives the right, in an outage for all too.

TestCancellationsLearnedWithoutTheLeaseTerminateNothing and TestCancellationIsNotAcknowledgedWithoutTheLease fail without the change.

TestLeaderWithoutLeaseAcknowledgesNothing waited for a value inside the leader that is no longer set without the lease. It now waits until the watch has delivered a later job, checks the pings for three steps rather than once, and that the revision rises once the lease is back. With both checks of the lease removed it fails.

--- a/controller/acknowledgements_test.go
+++ b/controller/acknowledgements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"ospreystile.example/ospreystile/config"
 	"ospreystile.example/ospreystile/controller/peerapi"
@@ -150,15 +151,23 @@
 	if answer := follower.service.Submit(t.Context(), "job-1", testSpec()); answer.Status != 201 {
 		t.Fatalf("submission of job-1: %+v", answer)
 	}
-	waitUntil(t, "the leader has observed all changes", func() bool {
-		revision, _ := c.localLeader.get().AcknowledgedRevision()
-		return revision >= unacknowledged
-	})
-	if got := c.pinger.currentPing().AcknowledgedRevision; got >= unacknowledged {
-		t.Errorf("acknowledged up to revision %d without the lease", got)
+	spec := testSpec()
+	store.Put(records.JobKey("job-2"), records.Job{Status: wire.JobQueued, Tasks: spec.Tasks, Spec: spec})
+	waitUntil(t, "the leader's watch has observed all changes", func() bool { return knownToLeader(t, c, "job-2") })
+	for until := time.Now().Add(3 * stepsOfLeader); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if got := c.pinger.currentPing().AcknowledgedRevision; got >= unacknowledged {
+			t.Fatalf("acknowledged up to revision %d without the lease", got)
+		}
 	}
+	leaderStore.AcceptRequests()
+	waitUntil(t, "all changes are acknowledged once the lease is held again", func() bool {
+		return c.pinger.currentPing().AcknowledgedRevision >= unacknowledged
+	})
 }
 
+// stepsOfLeader is longer than the interval between two steps of a leader's core, at which it acknowledges changes.
+const stepsOfLeader = 200 * time.Millisecond
+
 // A peer's answer acknowledges the term only as of the time when the ping was sent, and not from before
 // the peer's process was started. So a ping must contain the uptime, and a peer that knows a later
 // revision must end the term.
--- a/controller/leader/event_loop.go
+++ b/controller/leader/event_loop.go
@@ -19,12 +19,19 @@
 	summaryInterval = 5 * time.Second
 )
 
+// authority reports what the leader may do now. election.Term implements it.
+type authority interface {
+	HoldsLease() bool
+	MayAnswerHeartbeats() bool
+	RestrictedToReplicas() bool
+}
+
 // eventLoop owns the scheduler core. Only the goroutine of run uses the core, directly and through
 // the events that it applies. It blocks only while it waits for an event or for the next step.
 type eventLoop struct {
 	core      *scheduler.Core
 	executors *executors
-	term      *election.Term
+	term      authority
 	peers     []Peer
 	clock     monotonic.Clock
 	mailbox   *mailbox
@@ -82,13 +89,26 @@
 	if !l.term.MayAnswerHeartbeats() {
 		return nil
 	}
-	l.core.ObserveConnectivity(connectivity(l.term.HoldsLease(), l.peers, l.clock.Now()))
+	holdsLease := l.observeLease()
+	l.core.ObserveConnectivity(connectivity(holdsLease, l.peers, l.clock.Now()))
 	l.dispatch(ctx, l.core.Step(l.clock.Now()))
-	l.publishAcknowledged()
+	if holdsLease {
+		l.publishAcknowledged()
+	}
 	l.logSummary()
 	return nil
 }
 
+// observeLease tells the core if the lease is valid now, and reports whether it is.
+func (l *eventLoop) observeLease() bool {
+	now := l.clock.Now()
+	if !l.term.HoldsLease() {
+		return false
+	}
+	l.core.ObserveLease(now)
+	return true
+}
+
 // dispatch passes decisions to the executors. It does not block.
 func (l *eventLoop) dispatch(ctx context.Context, decisions scheduler.Decisions) {
 	for _, change := range decisions.RecordChanges {
@@ -105,8 +125,8 @@
 	l.executors.execute(ctx, &decisions)
 }
 
-// publishAcknowledged acknowledges all cancellations that the core has observed, once no previous
-// leader can keep tasks of a cancelled job running beyond the cancel deadline. Until then, each
+// publishAcknowledged acknowledges all cancellations that the core observed while the lease was valid, once no
+// previous leader can keep tasks of a cancelled job running beyond the cancel deadline. Until then, each
 // cancellation is acknowledged separately; see Leader.AcknowledgeCancellation.
 func (l *eventLoop) publishAcknowledged() {
 	observed := uint64(l.observedRevision)
--- a/controller/leader/event_loop_test.go
+++ b/controller/leader/event_loop_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"ospreystile.example/ospreystile/controller/peerapi"
+	"ospreystile.example/ospreystile/records"
 	"ospreystile.example/ospreystile/scheduler"
+	"ospreystile.example/ospreystile/wire"
 )
 
 // A cancellation must not be acknowledged to users while a previous leader can keep the job's tasks
@@ -73,3 +75,27 @@
 		t.Errorf("request to a closed mailbox: %v, want peerapi.ErrNotLeading", err)
 	}
 }
+
+// withoutLease is the authority of a leader that has lost its lease and still answers heartbeats.
+type withoutLease struct{}
+
+func (withoutLease) HoldsLease() bool           { return false }
+func (withoutLease) MayAnswerHeartbeats() bool  { return true }
+func (withoutLease) RestrictedToReplicas() bool { return true }
+
+// A leader without its lease must not acknowledge a cancellation, even if it regains the lease before the answer
+// arrives: its core does not count the cancellation as known under the lease yet, so nothing would terminate a
+// machine on which a task of the job goes on.
+func TestCancellationIsNotAcknowledgedWithoutTheLease(t *testing.T) {
+	dependencies := testDependencies(t, "127.0.0.1:1")
+	options := dependencies.schedulerOptions(5, true)
+	options.CancelDeadline, options.AgentLease = 52*time.Second, 27*time.Second
+	loop := &eventLoop{core: scheduler.New(options, nil), clock: dependencies.Clock, term: withoutLease{}}
+	loop.core.Begin(loop.clock.Now())
+	reply := make(chan bool, 1)
+	job := JobRecord{ID: "job-1", Record: &records.Job{Status: wire.JobCancelled, Tasks: 1}, Revision: 60}
+	cancellationAcknowledgementRequested{job: job, reply: reply}.applyTo(loop)
+	if <-reply {
+		t.Error("acknowledged without the lease")
+	}
+}
--- a/controller/leader/request_events.go
+++ b/controller/leader/request_events.go
@@ -10,7 +10,7 @@
 // never blocks on a requester that has given up.
 
 // cancellationAcknowledgementRequested holds the record of a cancelled job. The core observes the
-// record. The answer reports whether the cancellation may be acknowledged to users.
+// record. The answer reports whether the cancellation may be acknowledged to users, which requires the lease.
 type cancellationAcknowledgementRequested struct {
 	job   JobRecord
 	reply chan<- bool
@@ -19,7 +19,7 @@
 func (e cancellationAcknowledgementRequested) applyTo(loop *eventLoop) {
 	now := loop.clock.Now()
 	loop.core.ObserveJob(now, e.job.ID, e.job.Record, e.job.Revision)
-	e.reply <- loop.core.CanAcknowledgeCancel(now, e.job.ID)
+	e.reply <- loop.observeLease() && loop.core.CanAcknowledgeCancel(now, e.job.ID)
 }
 
 // progressRequested requests the progress of jobs. The answer omits the jobs that the core does not
--- a/scheduler/cluster/job.go
+++ b/scheduler/cluster/job.go
@@ -30,8 +30,10 @@
 	active   map[int]*Assignment
 	zones    placement.TasksByZone
 	endedAt  monotonic.Instant
-	endedMS  int64
-	started  bool
+	// endObservedAt is the time at which this controller set the terminal state.
+	endObservedAt monotonic.Instant
+	endedMS       int64
+	started       bool
 
 	Queue    JobQueue
 	Failures JobFailures
@@ -149,6 +151,10 @@
 // from the record, that time.
 func (j *Job) EndedAt() monotonic.Instant { return j.endedAt }
 
+// EndObservedAt returns the time at which this controller set the job's terminal state, or the time at which the term
+// began if that was loaded.
+func (j *Job) EndObservedAt() monotonic.Instant { return j.endObservedAt }
+
 // EndedMS returns the time at which the job ended according to the record that was loaded, as Unix time in
 // milliseconds, or 0 if it is not known.
 func (j *Job) EndedMS() int64 { return j.endedMS }
@@ -262,7 +268,7 @@
 func (s *State) EndJob(j *Job, status wire.JobState) {
 	j.status = status
 	j.pending = nil
-	j.endedAt = s.clock.Now()
+	j.endedAt, j.endObservedAt = s.clock.Now(), s.clock.Now()
 }
 
 // SetEndedAt sets the time at which a job ended to an earlier time.
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -112,6 +112,7 @@
 
 // step runs one step of the core and immediately commits the record changes that it decides.
 func (h *harness) step() Decisions {
+	h.c.ObserveLease(h.now)
 	decisions := h.c.Step(h.now)
 	for _, change := range decisions.RecordChanges {
 		h.c.CommitResult(h.now, records.CommitResult{Change: change, Revision: ids.Revision(1000 + change.ID)})
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -31,6 +31,8 @@
 	autoscaler   spotLossRecorder
 	// checkedAt is the time at which the last check began.
 	checkedAt monotonic.Instant
+	// leaseHeldAt is the last time at which this leader was certain that no later one exists.
+	leaseHeldAt monotonic.Instant
 	// checkRequested reports whether the next step must run a check even if none is due.
 	checkRequested bool
 }
@@ -70,6 +72,13 @@
 // healthCheckInterval is the time between two checks of the machines.
 const healthCheckInterval = 200 * time.Millisecond
 
+// ObserveLease tells the core that this leader holds its lease now, so that no later leader exists and every later
+// one will read what this one has observed. It must be called after the events that were observed before the
+// lease was checked.
+func (c *Core) ObserveLease(now monotonic.Instant) {
+	c.health.leaseHeldAt = max(c.health.leaseHeldAt, now)
+}
+
 // recordReclaimNotice records that the cloud will reclaim a spot instance after the given time.
 // The next step then checks all machines, and drains this one.
 func (hm *healthMonitor) recordReclaimNotice(m *cluster.Machine, after time.Duration) {
--- a/scheduler/machine_check.go
+++ b/scheduler/machine_check.go
@@ -136,7 +136,9 @@
 }
 
 // cancelOverdue reports whether a machine still holds a task of a cancelled job for which
-// cancelOverduePercent of the cancel deadline has passed.
+// cancelOverduePercent of the cancel deadline has passed. Only a cancellation that this leader knew while it held
+// its lease counts: a later leader has then read it before it placed anything. Any other is acknowledged to users
+// by a later leader, if at all.
 func (c *machineCheck) cancelOverdue(m *cluster.Machine) bool {
 	if m.NotStopping() == len(m.Assignments()) {
 		return false // no task is stopping
@@ -145,6 +147,9 @@
 		if a.StopReason() != cluster.StopCancelled || !a.MayRun() {
 			continue // a task that was never sent does not run, and a later leader does not know it
 		}
+		if a.Job.EndObservedAt() > c.leaseHeldAt {
+			continue // a later leader may act, and may have placed tasks on the machine before the cancellation
+		}
 		overdueAt := a.Job.EndedAt().Add(c.settings.cancelDeadline * cancelOverduePercent / 100)
 		if c.clock.Now() > max(overdueAt, c.clock.TermStart().Add(c.firstHeartbeatTime())) {
 			return true
--- a/scheduler/scenarios_test.go
+++ b/scheduler/scenarios_test.go
@@ -397,6 +397,7 @@
 		t.Fatal("job-2 was not placed on the machine of job-1")
 	}
 	h.c.ObserveJob(h.now, "job-1", &records.Job{Status: wire.JobCancelled, Tasks: 1, Spec: &spec}, 900)
+	h.c.ObserveLease(h.now)
 	cancelledAt := h.now
 	for terminated := false; !terminated; {
 		h.now = h.now.Add(200 * time.Millisecond)
--- a/scheduler/sim_leader_test.go
+++ b/scheduler/sim_leader_test.go
@@ -13,6 +13,9 @@
 // stepLeader runs one step of a leader's core and executes its decisions.
 func (s *sim) stepLeader(l simLeader) {
 	l.core.ObserveConnectivity(s.connectivityOf(l.core))
+	if l.holdsLease() {
+		l.core.ObserveLease(s.now)
+	}
 	decisions := l.core.Step(s.now)
 	s.checkClusterState(l.core)
 	s.digest.addDecisions(decisions)
--- a/scheduler/sim_users_test.go
+++ b/scheduler/sim_users_test.go
@@ -74,6 +74,9 @@
 				return
 			}
 			s.deliverJob(core, id)
+			if holdsLease {
+				core.ObserveLease(s.now)
+			}
 			if holdsLease && core.CanAcknowledgeCancel(s.now, id) {
 				s.cancelAcknowledgedAt[id] = s.now
 				return
--- a/scheduler/termination_records_test.go
+++ b/scheduler/termination_records_test.go
@@ -160,3 +160,37 @@
 		t.Errorf("a task was placed after %v, before the grace and a call of the previous leader have ended", waited)
 	}
 }
+
+// A leader that is cut off learns of a cancellation that was made after a later leader was elected. The later leader may
+// have placed tasks on the machine of the cancelled job before the cancellation, so the earlier one must not
+// terminate it. A cancellation that it knew while it held its lease was read by the later leader before it placed
+// anything: that machine must be terminated in time, also in an outage of the store.
+func TestCancellationsLearnedWithoutTheLeaseTerminateNothing(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		leaseAfterward bool
+	}{
+		{"learned while the lease was held", true},
+		{"learned when a later leader could not be ruled out", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, Options{})
+			token, running := h.runTask()
+			h.c.ObserveLease(h.now)
+			h.now = h.now.Add(time.Second)
+			spec := h.c.cluster.Job("job-1").Spec
+			h.c.ObserveJob(h.now, "job-1", &records.Job{Status: wire.JobCancelled, Tasks: 1, Spec: spec}, 900)
+			if c.leaseAfterward {
+				h.c.ObserveLease(h.now)
+			}
+			terminated := false
+			for until := h.now.Add(simCancelDeadline); h.now < until && !terminated; h.now = h.now.Add(time.Second) {
+				h.heartbeat("n-1", "a", token, running) // the agent does not receive the kill command
+				terminated = len(h.c.Step(h.now).TerminateCancelled) > 0
+			}
+			if terminated != c.leaseAfterward {
+				t.Errorf("terminated: %v", terminated)
+			}
+		})
+	}
+}
