Count searches in vain for each team, and requests for quota once

Cause: a pass over the waiting jobs ended after quota.max_skipped_jobs jobs that did not fit, whichever team's, those without quota included. The pass within nominal quota so ended before it reached the job, and the pass with borrowed quota took the older jobs first. Preemption had no such limit.

Change: only searches of the machines in vain count, for each team by itself. Requests for quota, and for machines with machine types, that did not fit are not examined again in a round. Preemption gets only the jobs that both passes reached. The list of waiting jobs is kept in order between rounds.

--- a/config/operator.go
+++ b/config/operator.go
@@ -41,8 +41,8 @@
 	ReclaimHoldS float64 `json:"reclaim_hold_s"`
 	// SliceTasks is the largest number of tasks in one admission record.
 	SliceTasks int `json:"slice_tasks"`
-	// MaxSkippedJobs is how many waiting jobs one scheduling round tries after the first
-	// that does not fit.
+	// MaxSkippedJobs is for how many jobs of one team a pass over the waiting jobs may search all
+	// machines in vain. The team's other jobs then wait for the next round.
 	MaxSkippedJobs int `json:"max_skipped_jobs"`
 	// ReserveAfterS is how long a job waits to start until machines are reserved for it. 0
 	// means that none are reserved. ReserveForS is how long a reservation lasts.
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -23,8 +23,8 @@
 	zones      zoneAdmission
 	lifecycle  placementStopper
 	records    placementRecords
-	// maxSkippedJobs is the maximum number of jobs that one pass over the queue may skip because
-	// they do not fit.
+	// maxSkippedJobs is the maximum number of jobs of one team for which one pass over the queue may
+	// search all machines in vain.
 	maxSkippedJobs int
 }
 
@@ -67,97 +67,9 @@
 	placementNoMachine                        // no machine fits the next task
 )
 
-// admitAll places as many tasks of the waiting jobs as fit, first within the teams' nominal
-// quotas, then with borrowed quota.
-func (adm *admitter) admitAll(waiting []*cluster.Job) {
-	adm.candidates.collect(adm.cluster.Machines(), adm.health)
-	pass := &admissionPass{
-		admitter:       adm,
-		infeasible:     map[placementRequest]bool{},
-		borrowPriority: map[ids.Team]wire.Priority{},
-	}
-	pass.admitNominal(waiting)
-	// Starving jobs may borrow first.
-	pass.admitBorrowed(adm.queue.starvingFirst(waiting))
-}
-
-// admissionPass holds the state of the two passes over the queue in one round.
-type admissionPass struct {
-	*admitter
-	// infeasible holds the requests for which no machine was found in this round.
-	infeasible map[placementRequest]bool
-	// borrowPriority holds, by team, the highest priority of the jobs that must borrow. The
-	// team's jobs of lower priority must not use the rest of its nominal quota first, because
-	// they would be preempted again.
-	borrowPriority map[ids.Team]wire.Priority
-}
-
-// admitNominal admits jobs within their teams' nominal quotas.
-func (p *admissionPass) admitNominal(waiting []*cluster.Job) {
-	skipped := 0
-	for _, j := range waiting {
-		if len(j.Pending()) == 0 {
-			continue
-		}
-		team := j.Spec.Team
-		j.Queue.BorrowOnly = j.Priority() < p.borrowPriority[team]
-		if j.Queue.BorrowOnly {
-			continue
-		}
-		tried := p.try(j, nominalQuota)
-		if p.quota.mustBorrow(j) {
-			p.borrowPriority[team] = max(p.borrowPriority[team], j.Priority())
-		}
-		if tried && len(j.Pending()) > 0 {
-			if skipped++; skipped > p.maxSkippedJobs {
-				return
-			}
-		}
-	}
-}
-
-// admitBorrowed admits jobs against the quota that their teams may borrow.
-func (p *admissionPass) admitBorrowed(waiting []*cluster.Job) {
-	skipped := 0
-	for _, j := range waiting {
-		if len(j.Pending()) == 0 {
-			continue
-		}
-		if p.try(j, borrowedQuota) && len(j.Pending()) > 0 {
-			if skipped++; skipped > p.maxSkippedJobs {
-				return
-			}
-		}
-	}
-}
-
-// try attempts to admit a job, unless no machine was found for an equal request in this round.
-// It reports whether an attempt was made.
-func (p *admissionPass) try(j *cluster.Job, source quotaSource) (tried bool) {
-	if request, cacheable := p.searches.requestOf(j, j.Zones()); cacheable && p.infeasible[request] {
-		return false
-	}
-	if p.admitJob(j, source) != placementNoMachine {
-		return true
-	}
-	// Some tasks may have been placed, so the request may have changed.
-	if request, cacheable := p.searches.requestOf(j, j.Zones()); cacheable {
-		p.infeasible[request] = true
-	}
-	return true
-}
-
 // admitJob places the pending tasks of a job that fit. A gang and a service that starts are
 // placed as a whole or not at all, other jobs task by task.
 func (adm *admitter) admitJob(j *cluster.Job, source quotaSource) placementResult {
-	if j.Spec.Gang && len(j.Active()) > 0 {
-		// The gang has lost tasks. All its tasks must restart together, so the remaining
-		// ones are stopped first.
-		for _, a := range j.Assignments() {
-			adm.lifecycle.stop(a, cluster.StopPreempted)
-		}
-		return placementEnded
-	}
 	attempt := admissionAttempt{job: j, source: source, allOrNothing: j.NeedsAllTasks()}
 	switch {
 	case attempt.allOrNothing && !adm.quota.fits(j, source, len(j.Pending())):
--- a/scheduler/cluster/job.go
+++ b/scheduler/cluster/job.go
@@ -75,6 +75,8 @@
 	// PreferredUntil.
 	PreferredZone  ids.Zone
 	PreferredUntil monotonic.Instant
+	// Listing is the number of the last list of waiting jobs that contains the job. Only the job queue uses it.
+	Listing uint64
 }
 
 // JobFailures holds a job's failures and run times. The failure history and the slowness detector write it.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -146,8 +146,8 @@
 		return
 	}
 	c.quota.updateSurplus()
-	c.admission.admitAll(waiting)
-	c.candidates.examined += c.preemption.Preempt(waiting, c.candidates.machines)
+	reached := c.admission.admitAll(waiting)
+	c.candidates.examined += c.preemption.Preempt(reached, c.candidates.machines)
 	c.reservations.update(waiting)
 }
 
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -33,7 +33,8 @@
 //   - commandDispatcher decides which agents are called and which commands they get.
 //
 // Between steps, heartbeatHandler, jobRecordReader and machineRegistry receive events, and
-// taskLifecycle ends tasks. failureHistory, slownessDetector and runEstimates learn from how
+// taskLifecycle ends tasks. restartDetector recognizes agents that restarted and lost their token.
+// failureHistory, slownessDetector and runEstimates learn from how
 // tasks end. previousLeaders bounds what previous leaders may still do.
 //
 // cluster.State.CheckInvariants verifies the state. The simulation in the tests of this package
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -15,7 +15,7 @@
 
 // harness calls a core directly, without a simulation around it. Its machines have booted.
 type harness struct {
-	t        *testing.T
+	t        testing.TB
 	c        *Core
 	now      monotonic.Instant
 	sequence ids.Sequence
@@ -25,7 +25,7 @@
 
 // newHarness returns a harness whose core has one team and one machine type, unless others are
 // given.
-func newHarness(t *testing.T, opt Options, types ...wire.MachineType) *harness {
+func newHarness(t testing.TB, opt Options, types ...wire.MachineType) *harness {
 	t.Helper()
 	if opt.Teams == nil {
 		opt.Teams = []quota.Team{{Name: "red", Nominal: quota.Amount{CPUs: 64}, Limit: quota.Amount{CPUs: 64}, LendingLimit: quota.Amount{CPUs: 64}}}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -1,8 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"ospreystile.example/ospreystile/scheduler/clock"
@@ -10,13 +10,16 @@
 )
 
 // jobQueue orders the jobs that wait for admission and determines which have waited too long.
-// It does not modify jobs.
+// Of a job, it modifies only Queue.Listing.
 type jobQueue struct {
 	cluster  *cluster.State
 	clock    *clock.Clock
 	rounds   *clock.RoundTrigger
 	zones    evacuationStatus
 	settings queueSettings
+	// ordered holds the result of the last call of waitingJobs, and listing the number of calls.
+	ordered []*cluster.Job
+	listing uint64
 }
 
 // queueSettings holds the settings of the job queue.
@@ -36,37 +39,90 @@
 // waitingJobs returns the jobs with tasks to place, in descending order of priority. Among jobs
 // of equal priority, those that have waited too long come first. They are followed by services
 // while the tasks of a zone may have to move to other zones. The remaining jobs are ordered by
-// creation time, or by the time at which a late pipeline should start.
+// creation time, or by the time at which a late pipeline should start. The result is valid until the
+// next call.
+//
+// Nearly all jobs that wait have waited before, in the same order. So those are kept in order, and only
+// the others are sorted.
 func (q *jobQueue) waitingJobs() []*cluster.Job {
-	var out []*cluster.Job
+	compare := q.comparison()
+	q.listing++
+	kept := slices.DeleteFunc(q.ordered, func(j *cluster.Job) bool { return !q.waiting(j) })
+	for _, j := range kept {
+		j.Queue.Listing = q.listing
+	}
+	if !slices.IsSortedFunc(kept, compare) {
+		slices.SortFunc(kept, compare)
+	}
+	var added []*cluster.Job
 	for _, j := range q.cluster.Jobs() {
-		if !admissible(j) {
-			continue
-		}
-		if q.clock.Now() < j.Queue.RetryAt {
-			q.rounds.RecheckAt(j.Queue.RetryAt) // otherwise no round may be due then
-			continue
+		if j.Queue.Listing != q.listing && q.waiting(j) {
+			j.Queue.Listing = q.listing
+			added = append(added, j)
 		}
-		out = append(out, j)
 	}
+	slices.SortFunc(added, compare)
+	q.ordered = mergeJobs(kept, added, compare)
+	return q.ordered
+}
+
+// waiting reports whether tasks of a job may be placed now.
+func (q *jobQueue) waiting(j *cluster.Job) bool {
+	if !admissible(j) {
+		return false
+	}
+	if q.clock.Now() < j.Queue.RetryAt {
+		q.rounds.RecheckAt(j.Queue.RetryAt) // otherwise no round may be due then
+		return false
+	}
+	return true
+}
+
+// comparison returns the order of waiting jobs now. No two jobs are equal.
+func (q *jobQueue) comparison() func(a, b *cluster.Job) int {
 	servicesFirst := q.zones.evacuating()
-	sort.Slice(out, func(i, k int) bool {
-		a, b := out[i], out[k]
-		if a.Priority() != b.Priority() {
-			return a.Priority() > b.Priority()
+	return func(a, b *cluster.Job) int {
+		if order := cmp.Compare(b.Priority(), a.Priority()); order != 0 {
+			return order
 		}
-		if x, y := q.aged(a), q.aged(b); x != y {
-			return x
+		if order := trueFirst(q.aged(a), q.aged(b)); order != 0 {
+			return order
 		}
-		if servicesFirst && a.Spec.Service != b.Spec.Service {
-			return a.Spec.Service
+		if order := trueFirst(a.Spec.Service, b.Spec.Service); servicesFirst && order != 0 {
+			return order
 		}
-		if a.Queue.OrderMS != b.Queue.OrderMS {
-			return a.Queue.OrderMS < b.Queue.OrderMS
+		if order := cmp.Compare(a.Queue.OrderMS, b.Queue.OrderMS); order != 0 {
+			return order
 		}
-		return a.ID < b.ID
-	})
-	return out
+		return cmp.Compare(a.ID, b.ID)
+	}
+}
+
+// trueFirst orders true before false.
+func trueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// mergeJobs merges two sorted lists.
+func mergeJobs(a, b []*cluster.Job, compare func(a, b *cluster.Job) int) []*cluster.Job {
+	if len(b) == 0 {
+		return a
+	}
+	merged := make([]*cluster.Job, 0, len(a)+len(b))
+	for len(a) > 0 && len(b) > 0 {
+		if compare(a[0], b[0]) < 0 {
+			merged, a = append(merged, a[0]), a[1:]
+		} else {
+			merged, b = append(merged, b[0]), b[1:]
+		}
+	}
+	return append(append(merged, a...), b...)
 }
 
 // admissible reports whether a job has tasks that may be placed.
--- a/scheduler/queue_test.go
+++ b/scheduler/queue_test.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,3 +44,44 @@
 		t.Errorf("%s is ordered before the starving job", first)
 	}
 }
+
+// The list of waiting jobs is kept from round to round. It must always be what sorting all jobs anew gives, also
+// after jobs arrived, started, ended, backed off, aged or changed their place.
+func TestWaitingJobsStayOrdered(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		h := newHarness(t, Options{AdmissionOptions: AdmissionOptions{ReserveAfter: 10 * time.Second}})
+		for round := range 60 {
+			h.now = h.now.Add(time.Second)
+			h.c.clock.Set(h.now)
+			for n := range rng.IntN(5) {
+				h.submit(ids.JobID(fmt.Sprintf("job-%d-%d", round, n)), wire.JobSpec{Class: "c", Tasks: 1, Priority: wire.Priority(rng.IntN(3))})
+			}
+			for _, j := range h.c.cluster.SortedJobs() {
+				changeWaitingJob(h, rng, j)
+			}
+			got := slices.Clone(h.c.queue.waitingJobs())
+			want := slices.DeleteFunc(h.c.cluster.SortedJobs(), func(j *cluster.Job) bool { return !admissible(j) || h.now < j.Queue.RetryAt })
+			slices.SortFunc(want, h.c.queue.comparison())
+			if !slices.Equal(got, want) {
+				t.Fatalf("seed %d, round %d: %d jobs are listed, %d wait, or their order is wrong", seed, round, len(got), len(want))
+			}
+		}
+	}
+}
+
+// changeWaitingJob changes a few jobs in a way that may change their place in the queue.
+func changeWaitingJob(h *harness, rng *rand.Rand, j *cluster.Job) {
+	switch rng.IntN(40) {
+	case 0:
+		j.Queue.RetryAt = h.now.Add(time.Duration(rng.IntN(4)) * time.Second)
+	case 1:
+		j.Queue.OrderMS -= int64(rng.IntN(5))
+	case 2:
+		h.c.cluster.SetPriority(j, wire.Priority(rng.IntN(3)))
+	case 3:
+		h.c.cluster.EndJob(j, wire.JobCancelled)
+	case 4:
+		j.Queue.Suspended = !j.Queue.Suspended
+	}
+}
--- a/scheduler/quota_check.go
+++ b/scheduler/quota_check.go
@@ -52,9 +52,3 @@
 	}
 	return c.quotas.FitsBorrowing(j.Spec.Team, amount, c.clock.Now())
 }
-
-// mustBorrow reports whether a job's pending tasks fit its team's quota only with borrowing.
-func (c *quotaCheck) mustBorrow(j *cluster.Job) bool {
-	n := j.TasksTogether()
-	return len(j.Pending()) > 0 && !c.fits(j, nominalQuota, n) && c.fits(j, borrowedQuota, n)
-}
--- a/scheduler/reference_model_test.go
+++ b/scheduler/reference_model_test.go
@@ -407,9 +407,10 @@
 }
 
 // TestAdmissionMatchesReferenceModel checks that the core places the same tasks on the same machines as
-// the reference model, with random teams, machines and jobs. The last seeds also have reservations.
+// the reference model, with random teams, machines and jobs. Some seeds also have reservations, and the last ones more
+// equal waiting jobs of one team than a pass may search for in vain. They must not keep the core from other jobs.
 func TestAdmissionMatchesReferenceModel(t *testing.T) {
-	const seeds, firstWithReservations, rounds = 200, 150, 4
+	const seeds, firstWithReservations, firstWithCrowd, crowd, rounds = 230, 150, 200, 150, 4
 	placed, reserved := 0, 0
 	for seed := range uint64(seeds) {
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -417,12 +418,17 @@
 		h := newHarness(t, Options{Teams: teams, AdmissionOptions: AdmissionOptions{ReserveAfter: time.Second, ReserveFor: time.Hour}})
 		h.c.Begin(h.now)
 		h.randomMachines(rng, 1+rng.IntN(6))
+		for n := range crowd {
+			if seed >= firstWithCrowd {
+				h.submit(ids.JobID(fmt.Sprintf("job-crowd-%d", n)), wire.JobSpec{Class: "c", Team: teams[2].Name, Priority: 1, Tasks: 1, CPUs: 1, MemoryGB: 1})
+			}
+		}
 		for round := range rounds {
 			for n := range rng.IntN(6) {
 				h.submit(ids.JobID(fmt.Sprintf("job-%d-%d", round, n)), randomModelSpec(rng, teams))
 			}
 			placed += h.compareWithModel()
-			if seed >= firstWithReservations {
+			if seed >= firstWithReservations && seed < firstWithCrowd {
 				reserved += h.reserveCapacity()
 			}
 		}
--- a/scheduler/search.go
+++ b/scheduler/search.go
@@ -23,6 +23,7 @@
 	allowedZones  uint64             // bit set of the zones in which the spread of the job allows a task
 	gate          zoneAdmissionClass // properties that the admission of recovering zones depends on
 	tasksTogether int                // number of tasks that must be placed at once; 0: task by task
+	types         string             // names of the allowed machine types, each ended by a zero byte
 }
 
 // searcher creates searches for machines and scores machines for tasks. The only state that it
@@ -49,13 +50,15 @@
 // equal request.
 func (s *searcher) requestOf(j *cluster.Job, tasksByZone placement.TasksByZone) (request placementRequest, ok bool) {
 	spec := j.Spec
-	if len(spec.Types) > 0 || len(s.candidates.zones) > maxRequestZones || j.Queue.ReservedSince != 0 {
-		// A request holds neither machine types nor more than maxRequestZones zones. Machines may
-		// be reserved for this job alone, so an equal request of another job may have a different
-		// result.
+	if len(s.candidates.zones) > maxRequestZones || j.Queue.ReservedSince != 0 {
+		// A request holds no more than maxRequestZones zones. Machines may be reserved for this job
+		// alone, so an equal request of another job may have a different result.
 		return placementRequest{}, false
 	}
 	request = placementRequest{resources: j.TaskResources(), priority: j.Priority(), spot: spec.Spot, zone: spec.Zone}
+	for _, name := range spec.Types {
+		request.types += string(name) + "\x00"
+	}
 	if s.needsImage(j) {
 		request.image = spec.Image
 	}
