Terminate a restarted agent's machine that shows no token in time

What callers would see: a machine whose agent has restarted and receives nothing keeps its tasks assigned for as long as that lasts, since its heartbeats are answered and so its lease never counts as expired.

Cause: heartbeats without the required token are not passed to the detection of machines that commands do not reach, since the detection of restarts was added.

Change: such a heartbeat makes the machine unreachable, until it shows the token or answers a call; it is terminated like any other unreachable machine.

--- a/scheduler/agent_restarts_test.go
+++ b/scheduler/agent_restarts_test.go
@@ -284,3 +284,27 @@
 		t.Errorf("a late duplicate started %+v", a.tasks)
 	}
 }
+
+// An agent that restarted, and whose heartbeats arrive while it receives nothing, never shows the raised token. Its
+// heartbeats are answered, so its lease never counts as expired. The machine must be terminated, or its tasks
+// would wait for as long as that lasts.
+func TestRestartedAgentThatReceivesNothingIsTerminated(t *testing.T) {
+	a := newRestartingAgent(newHarness(t, Options{}))
+	h := a.h
+	a.reset()
+	terminated := false
+	for until := h.now.Add(simAgentLease); h.now < until && !terminated; {
+		h.now = h.now.Add(time.Second)
+		h.c.Heartbeat(h.now, a.status()) // the response is lost
+		decisions := h.step()
+		for range decisions.SendCommands {
+			if _, _, ok := h.c.TakeCommands(h.now, "n-1"); ok {
+				h.c.CommandsResult(h.now, "n-1", nil)
+			}
+		}
+		terminated = slices.Contains(decisions.Terminate, "n-1")
+	}
+	if !terminated {
+		t.Error("the machine was not terminated within a lease")
+	}
+}
--- a/scheduler/heartbeats.go
+++ b/scheduler/heartbeats.go
@@ -70,6 +70,8 @@
 	observe(m *cluster.Machine, heartbeat *wire.Heartbeat)
 	// markReachable records that the machine sent a heartbeat in response to a call.
 	markReachable(m *cluster.Machine)
+	// requireProof makes the machine unreachable until it shows its token or answers a call.
+	requireProof(m *cluster.Machine)
 }
 
 // heartbeatCommands builds the responses to heartbeats.
@@ -134,6 +136,7 @@
 	case unfencedHeartbeat:
 		h.commands.allowCalls(m)
 		h.restarts.fence(m)
+		h.reachability.requireProof(m)
 	}
 	if !h.leaders.mayAnswer(m) {
 		return wire.HeartbeatResponse{}, false
--- a/scheduler/reachability.go
+++ b/scheduler/reachability.go
@@ -46,6 +46,14 @@
 	m.Health.Unreachable = false
 }
 
+// requireProof makes a machine unreachable until it shows the token that commands to it carry now, or answers a
+// call. It is overdue if it does neither in time.
+func (d *reachabilityDetector) requireProof(m *cluster.Machine) {
+	if !m.Health.Unreachable {
+		m.Health.Unreachable, m.Health.UnreachableSince = true, d.clock.Now()
+	}
+}
+
 // observe determines from a heartbeat whether commands reach the machine. The heartbeat must not
 // have been applied to m yet.
 func (d *reachabilityDetector) observe(m *cluster.Machine, heartbeat *wire.Heartbeat) {
