List the first of equal waiting jobs, not all of them, in a round

Cause: each round listed, sorted and compared all waiting jobs, although those that nothing distinguishes but their order fit or do not fit together.

Change: the queue keeps the jobs that may wait in groups with equal properties, and a round lists the first 256 of each. Services, gangs, jobs with placement constraints and jobs that have started or failed are listed one by one. Jobs enter by an event (cluster.State.MarkWaiting); once a second all jobs are examined for any that none has brought. If all listed jobs of a group are placed, the next round is due for those behind. While the state of a zone decides about starts, all are listed. The demand for machines still counts all waiting jobs, once a second.

--- a/scheduler/cluster/assignment.go
+++ b/scheduler/cluster/assignment.go
@@ -123,7 +123,12 @@
 
 // Admit removes the n pending tasks with the lowest indexes, which Assign has placed, from the list
 // of pending tasks.
-func (*State) Admit(j *Job, n int) { j.pending = j.pending[:len(j.pending)-n] }
+func (s *State) Admit(j *Job, n int) {
+	j.pending = j.pending[:len(j.pending)-n]
+	if n > 0 {
+		s.MarkWaiting(j)
+	}
+}
 
 // UndoAssign reverts Assign. It must not be called after Admit.
 func (s *State) UndoAssign(a *Assignment) {
@@ -151,6 +156,7 @@
 	}
 	k, _ := slices.BinarySearchFunc(j.pending, a.Index, func(e, t int) int { return t - e })
 	j.pending = slices.Insert(j.pending, k, a.Index)
+	s.MarkWaiting(j)
 }
 
 // Complete removes a task that succeeded from its machine. The task is done unless its job has ended.
--- a/scheduler/cluster/cluster.go
+++ b/scheduler/cluster/cluster.go
@@ -48,6 +48,8 @@
 	quotas   *quota.Tracker
 
 	jobs map[ids.JobID]*Job
+	// markedWaiting holds the jobs that MarkWaiting has marked.
+	markedWaiting []*Job
 
 	machines map[ids.MachineID]*Machine
 	// machineList holds the same machines, sorted by ID.
@@ -105,6 +107,24 @@
 // on the order of iteration uses SortedJobs.
 func (s *State) Jobs() map[ids.JobID]*Job { return s.jobs }
 
+// MarkWaiting marks a job that may have begun to wait for admission, or whose place in the queue may have changed.
+func (s *State) MarkWaiting(j *Job) {
+	if !j.Queue.Marked {
+		j.Queue.Marked = true
+		s.markedWaiting = append(s.markedWaiting, j)
+	}
+}
+
+// TakeMarkedWaiting returns the jobs that were marked since the last call.
+func (s *State) TakeMarkedWaiting() []*Job {
+	marked := s.markedWaiting
+	s.markedWaiting = nil
+	for _, j := range marked {
+		j.Queue.Marked = false
+	}
+	return marked
+}
+
 // SortedJobs returns all jobs sorted by ID. Decisions follow this order, never the iteration order
 // of a map: the same events must lead to the same decisions.
 func (s *State) SortedJobs() []*Job { return slices.SortedFunc(maps.Values(s.jobs), CompareJobs) }
--- a/scheduler/cluster/job.go
+++ b/scheduler/cluster/job.go
@@ -75,8 +75,20 @@
 	// PreferredUntil.
 	PreferredZone  ids.Zone
 	PreferredUntil monotonic.Instant
-	// Listing is the number of the last list of waiting jobs that contains the job. Only the job queue uses it.
+	// Listing, Place and Marked are used by the job queue alone. Listing is the number of the last list of
+	// waiting jobs that contains the job. Marked reports whether the job may have begun to wait or may need
+	// another place since the last list.
 	Listing uint64
+	Place   WaitingPlace
+	Marked  bool
+}
+
+// WaitingPlace represents where the job queue keeps a job: nowhere, as a single job, or in a group of jobs that
+// nothing distinguishes but their order.
+type WaitingPlace struct {
+	Single  bool
+	Group   int // number of the group; 0: none
+	OrderMS int64
 }
 
 // JobFailures holds a job's failures and run times. The failure history and the slowness detector write it.
@@ -285,6 +297,7 @@
 	if p == j.priority {
 		return
 	}
+	s.MarkWaiting(j)
 	for _, a := range j.active {
 		s.countWorkload(a, -1)
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -149,6 +149,9 @@
 	reached := c.admission.admitAll(waiting)
 	c.candidates.examined += c.preemption.Preempt(reached, c.candidates.machines)
 	c.reservations.update(waiting)
+	if c.queue.groups.moreWait() {
+		c.rounds.MarkDue()
+	}
 }
 
 // takeDecisions returns the decisions of all components since the last step.
--- a/scheduler/job_records.go
+++ b/scheduler/job_records.go
@@ -261,4 +261,5 @@
 		r.arrivals.recordArrival(j.Spec)
 		r.rounds.MarkDue()
 	}
+	r.cluster.MarkWaiting(j)
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,8 +18,10 @@
 	rounds   *clock.RoundTrigger
 	zones    evacuationStatus
 	settings queueSettings
-	// ordered holds the result of the last call of waitingJobs, and listing the number of calls.
-	ordered []*cluster.Job
+	groups   *waitingGroups
+	// listed and listedAll hold the results of the last calls of waitingJobs and allWaitingJobs.
+	listed, listedAll []*cluster.Job
+	// listing is a number that is above those of all earlier lists.
 	listing uint64
 }
 
@@ -34,36 +37,54 @@
 }
 
 // evacuationStatus reports whether the tasks of some zone may need machines in other zones.
-type evacuationStatus interface{ evacuating() bool }
+type evacuationStatus interface {
+	evacuating() bool
+	// anyGated reports whether the state of a zone decides which tasks may start there.
+	anyGated() bool
+}
 
 // waitingJobs returns the jobs with tasks to place, in descending order of priority. Among jobs
 // of equal priority, those that have waited too long come first. They are followed by services
 // while the tasks of a zone may have to move to other zones. The remaining jobs are ordered by
-// creation time, or by the time at which a late pipeline should start. The result is valid until the
-// next call.
-//
-// Nearly all jobs that wait have waited before, in the same order. So those are kept in order, and only
-// the others are sorted.
+// creation time, or by the time at which a late pipeline should start. Of many jobs that nothing
+// distinguishes but their order, it returns the first ones. The result is valid until the next call.
 func (q *jobQueue) waitingJobs() []*cluster.Job {
+	limit := q.groups.maxListed
+	if q.zones.evacuating() || q.zones.anyGated() {
+		limit = math.MaxInt // the state of a zone may decide differently about jobs that are otherwise alike
+	}
+	q.listed = q.order(q.groups.list(q.clock.Now(), limit), q.listed)
+	return q.listed
+}
+
+// allWaitingJobs returns all jobs with tasks to place, in the same order. The result is valid until the
+// next call.
+func (q *jobQueue) allWaitingJobs() []*cluster.Job {
+	q.listedAll = q.order(q.groups.list(q.clock.Now(), math.MaxInt), q.listedAll)
+	return q.listedAll
+}
+
+// order returns those of the jobs that wait, in order. Nearly all of them have waited before, in the same
+// order. So what the previous list holds is kept in order, and only the others are sorted.
+func (q *jobQueue) order(jobs, previous []*cluster.Job) []*cluster.Job {
 	compare := q.comparison()
-	q.listing++
-	kept := slices.DeleteFunc(q.ordered, func(j *cluster.Job) bool { return !q.waiting(j) })
-	for _, j := range kept {
-		j.Queue.Listing = q.listing
+	candidate, kept := q.listing+1, q.listing+2
+	q.listing = kept
+	for _, j := range jobs {
+		if q.waiting(j) {
+			j.Queue.Listing = candidate
+		}
 	}
-	if !slices.IsSortedFunc(kept, compare) {
-		slices.SortFunc(kept, compare)
+	previous = slices.DeleteFunc(previous, func(j *cluster.Job) bool { return j.Queue.Listing != candidate })
+	for _, j := range previous {
+		j.Queue.Listing = kept
 	}
-	var added []*cluster.Job
-	for _, j := range q.cluster.Jobs() {
-		if j.Queue.Listing != q.listing && q.waiting(j) {
-			j.Queue.Listing = q.listing
-			added = append(added, j)
-		}
+	if !slices.IsSortedFunc(previous, compare) {
+		slices.SortFunc(previous, compare)
 	}
+	added := slices.DeleteFunc(jobs, func(j *cluster.Job) bool { return j.Queue.Listing != candidate })
 	slices.SortFunc(added, compare)
-	q.ordered = mergeJobs(kept, added, compare)
-	return q.ordered
+	return mergeJobs(previous, added, compare)
 }
 
 // waiting reports whether tasks of a job may be placed now.
--- a/scheduler/waiting_demand.go
+++ b/scheduler/waiting_demand.go
@@ -63,7 +63,7 @@
 	w.quotas.SetCohortQuota(quota.Amount{CPUs: math.MaxInt32, GPUs: math.MaxInt32})
 	defer w.quota.updateSurplus()
 	demand := &admissibleDemand{tasks: map[*cluster.Job]int{}}
-	waiting := w.queue.waitingJobs()
+	waiting := w.queue.allWaitingJobs()
 	for _, source := range []quotaSource{nominalQuota, borrowedQuota} {
 		for _, j := range waiting {
 			w.countJob(demand, j, source)
--- a/scheduler/waiting_jobs_test.go
+++ b/scheduler/waiting_jobs_test.go
@@ -92,7 +92,8 @@
 	}
 }
 
-// BenchmarkGuaranteeBehindWaitingJobs measures the time of a round in which nothing can be placed, the simulated
+// BenchmarkGuaranteeBehindWaitingJobs measures the time of a round in which nothing can be placed, the time of what is
+// done once a second (a scan of all jobs, and the demand of those that wait), the simulated
 // time to the start of a job within its team's nominal quota, and the tasks stopped for each of its tasks.
 //
 //	go test ./scheduler -run - -bench GuaranteeBehindWaitingJobs
@@ -104,6 +105,10 @@
 			for b.Loop() {
 				c.c.scheduleRound()
 			}
+			began := time.Now()
+			c.c.queue.groups.rescan()
+			c.c.autoscaler.waiting.count()
+			b.ReportMetric(float64(time.Since(began).Microseconds())/1000, "ms-each-second")
 			b.ReportMetric(c.startGuaranteed().Seconds(), "s-to-start")
 			b.ReportMetric(float64(c.stopped)/guaranteedTasks, "stopped/task")
 		})
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -183,16 +183,22 @@
 	}
 }
 
-// makeAdmission creates the components that admit jobs.
-func (c *Core) makeAdmission() {
-	c.candidates = &candidateList{}
-	c.queue = &jobQueue{
+// newQueue returns the queue of the jobs that wait for admission.
+func (c *Core) newQueue() *jobQueue {
+	return &jobQueue{
 		cluster:  c.cluster,
 		clock:    c.clock,
 		rounds:   c.rounds,
 		zones:    c.zones,
+		groups:   newWaitingGroups(c.cluster),
 		settings: queueSettings{latencySensitive: c.opt.LatencySensitive, reserveAfter: c.opt.ReserveAfter},
 	}
+}
+
+// makeAdmission creates the components that admit jobs.
+func (c *Core) makeAdmission() {
+	c.candidates = &candidateList{}
+	c.queue = c.newQueue()
 	c.quota = &quotaCheck{cluster: c.cluster, clock: c.clock, quotas: c.quotas, health: c.health}
 	c.reservations = &reservations{
 		cluster:    c.cluster,
--- a/scheduler/zone_admission.go
+++ b/scheduler/zone_admission.go
@@ -34,6 +34,9 @@
 // evacuating reports whether work displaced from some zone may need capacity in other zones.
 func (g *zoneGate) evacuating() bool { return g != nil && g.manager.Evacuating() }
 
+// anyGated reports whether the state of a zone decides which tasks may start there.
+func (g *zoneGate) anyGated() bool { return g != nil && g.manager.AnyGated() }
+
 // recovering reports whether a zone recovers, so that it is unknown whether tasks start there.
 func (g *zoneGate) recovering(zone ids.Zone) bool {
 	return g != nil && g.manager.Condition(zone) == zonerecovery.Recovering
