Probe quarantined machines for work that fits nowhere else

Cause: two failures of a job that failed nowhere else quarantine a machine for two minutes. The job is taken for the cause only after failures on three machines, which a job that fits one or two never reaches, and nothing ended the quarantine.

Change: while a job waits that fits on no other machine, nor on one that should boot soon, a quarantined machine gets one task at a time, first of jobs that have not failed, with growing intervals. A probe that succeeds or runs for 10 s ends the quarantine. So does the cancellation of the only job that failed there without a success; its failures still count beside those of other jobs.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -57,6 +57,7 @@
 	job          *cluster.Job
 	source       quotaSource
 	allOrNothing bool // all pending tasks are placed, or none
+	single       bool // at most one task is placed, unless all must be placed together
 }
 
 // placementResult is the reason why an attempt to place tasks ended.
@@ -77,7 +78,8 @@
 	case attempt.allOrNothing && j.Spec.OneZone:
 		return adm.admitInOneZone(attempt)
 	}
-	return adm.admitTasks(attempt)
+	_, result := adm.admitTasks(attempt)
+	return result
 }
 
 // admitInOneZone places all tasks of a job in one zone. The best machine for the first task
@@ -98,7 +100,7 @@
 	}
 	for _, zone := range zones {
 		j.Queue.OnlyZone = zone
-		if adm.admitTasks(attempt) != placementNoMachine {
+		if _, result := adm.admitTasks(attempt); result != placementNoMachine {
 			return placementEnded
 		}
 	}
@@ -107,20 +109,20 @@
 
 // admitTasks places the pending tasks of a job that fit, in JobQueue.OnlyZone if that is set.
 // It undoes all placements if the attempt is all-or-nothing and a task did not fit.
-func (adm *admitter) admitTasks(attempt admissionAttempt) placementResult {
+func (adm *admitter) admitTasks(attempt admissionAttempt) (placed []*cluster.Assignment, result placementResult) {
 	j := attempt.job
-	placed, result := adm.placeTasks(attempt)
+	placed, result = adm.placeTasks(attempt)
 	if attempt.allOrNothing && len(placed) < len(j.Pending()) {
 		for _, a := range placed {
 			adm.lifecycle.withdraw(a)
 		}
-		return result
+		return nil, result
 	}
 	adm.cluster.Admit(j, len(placed))
 	for _, a := range placed {
 		adm.records.markPlacementDirty(j, a.Index)
 	}
-	return result
+	return placed, result
 }
 
 // placeTasks places a job's pending tasks in order until one does not fit or a limit is reached.
@@ -142,7 +144,7 @@
 		}
 		placed = append(placed, adm.assign(j, index, m))
 		search.updateRank(m)
-		if probing(j) {
+		if probing(j) || attempt.single && !attempt.allOrNothing {
 			break
 		}
 		if aged && !attempt.allOrNothing {
--- a/scheduler/admission_pass.go
+++ b/scheduler/admission_pass.go
@@ -50,6 +50,7 @@
 	round.admitNominal(waiting)
 	// Starving jobs may borrow first.
 	round.admitBorrowed(adm.queue.starvingFirst(waiting))
+	round.admitProbes(waiting)
 	if len(round.unreached) == 0 {
 		return waiting
 	}
--- a/scheduler/cluster/job.go
+++ b/scheduler/cluster/job.go
@@ -97,6 +97,10 @@
 	Succeeded    int                                 // tasks
 	FailedRounds int                                 // rounds of failing everywhere since the last success
 	Backoff      time.Duration
+	// ProbeAt is the time before which the job probes no quarantined machine, because ProbeBackoff has not passed
+	// since its last probe failed.
+	ProbeAt      monotonic.Instant
+	ProbeBackoff time.Duration
 	RunTimes     map[ids.MachineID][]time.Duration // of tasks that were observed from start to end
 }
 
--- a/scheduler/cluster/machine.go
+++ b/scheduler/cluster/machine.go
@@ -119,6 +119,11 @@
 	QuarantinedUntil       monotonic.Instant
 	QuarantinedForFailures bool // quarantined for failures rather than for slowness
 	LastFailure            monotonic.Instant
+	// Probe is the task that finds out whether the quarantined machine works; nil: none. ProbeAt is the
+	// time before which no further one starts, and FailedProbes the number of probes that have failed.
+	Probe        *Assignment
+	ProbeAt      monotonic.Instant
+	FailedProbes int
 	// Slowness is the moving average of the base-2 logarithm of the ratio between the run time of tasks
 	// here and that of other tasks of the same job elsewhere.
 	Slowness   float64
@@ -126,6 +131,12 @@
 	SlowStreak int // consecutive jobs after which Slowness was at the limit or above
 }
 
+// EndQuarantine ends a machine's quarantine.
+func (h *MachineHealth) EndQuarantine() {
+	h.QuarantinedUntil, h.QuarantinedForFailures = 0, false
+	h.Probe, h.ProbeAt, h.FailedProbes = nil, 0, 0
+}
+
 // MachineAdmission holds the state that admission keeps for a machine. Only reservations write it.
 type MachineAdmission struct {
 	// ReservedFor is the job for which the machine is reserved; nil: none. Which other jobs may still
--- a/scheduler/failures.go
+++ b/scheduler/failures.go
@@ -51,6 +51,9 @@
 func (f *failureHistory) recordFailure(a *cluster.Assignment) {
 	m, j := a.Machine, a.Job
 	f.zones.taskFailed(a)
+	if m.Health.Probe == a {
+		f.probeFailed(m, j)
+	}
 	f.addAntiAffinity(j, m)
 	if j.Failures.FailedRounds == 0 {
 		f.countAgainstMachine(m, j)
@@ -66,8 +69,13 @@
 // recordSuccess clears the machine's failures after a task that succeeded. Unless the job has ended,
 // it also counts the success and resets the job's failure rounds and backoff. The count of a job's
 // successes is never reset.
-func (*failureHistory) recordSuccess(a *cluster.Assignment) {
-	clear(a.Machine.Health.FailuresByJob)
+func (f *failureHistory) recordSuccess(a *cluster.Assignment) {
+	health := &a.Machine.Health
+	clear(health.FailuresByJob)
+	if health.Probe == a && health.QuarantinedForFailures {
+		health.EndQuarantine()
+		f.rounds.MarkDue()
+	}
 	j := a.Job
 	if j.Terminal() {
 		return
@@ -93,6 +101,34 @@
 	}
 }
 
+// probeFailed delays the next probe of the machine and that of the job, for longer with each failure.
+func (f *failureHistory) probeFailed(m *cluster.Machine, j *cluster.Job) {
+	now := f.clock.Now()
+	interval := minProbeInterval
+	for range m.Health.FailedProbes {
+		interval = min(2*interval, maxProbeInterval)
+	}
+	m.Health.Probe, m.Health.ProbeAt = nil, now.Add(interval)
+	m.Health.FailedProbes++
+	j.Failures.ProbeBackoff = min(max(2*j.Failures.ProbeBackoff, minJobProbeInterval), maxJobProbeInterval)
+	j.Failures.ProbeAt = now.Add(j.Failures.ProbeBackoff)
+}
+
+// jobCancelled ends the quarantine of machines on which only the tasks of a job failed that was cancelled before
+// any of them succeeded: the job may have been at fault. Its failures still count, beside those of other jobs.
+func (f *failureHistory) jobCancelled(j *cluster.Job) {
+	if len(j.Failures.AntiAffinity) == 0 || j.Failures.Succeeded > 0 {
+		return
+	}
+	for _, m := range f.cluster.Machines() {
+		health := &m.Health
+		if health.QuarantinedForFailures && health.FailuresByJob[j.ID] > 0 && len(health.FailuresByJob) == 1 {
+			health.EndQuarantine()
+			f.rounds.MarkDue()
+		}
+	}
+}
+
 // backOff delays a job that fails on all machines. Only the first failure of a round counts,
 // because the other tasks of the round fail for the same reason.
 func (f *failureHistory) backOff(j *cluster.Job) {
@@ -114,7 +150,7 @@
 		}
 		delete(health.FailuresByJob, j.ID)
 		if health.QuarantinedForFailures && len(health.FailuresByJob) < quarantineJobs {
-			health.QuarantinedUntil, health.QuarantinedForFailures = 0, false
+			health.EndQuarantine()
 		}
 	}
 	f.rounds.MarkDue()
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -6,6 +6,7 @@
 	"ospreystile.example/ospreystile/monotonic"
 	"ospreystile.example/ospreystile/scheduler/clock"
 	"ospreystile.example/ospreystile/scheduler/cluster"
+	"ospreystile.example/ospreystile/wire"
 )
 
 // healthMonitor checks all machines periodically for conditions that depend only on time: missed
@@ -130,14 +131,26 @@
 	}
 }
 
-// endQuarantine ends a machine's quarantine once its duration has elapsed.
+// endQuarantine ends a machine's quarantine once its duration has elapsed, or its probe has run for a while.
 func (hm *healthMonitor) endQuarantine(m *cluster.Machine) {
-	if m.Health.QuarantinedUntil != 0 && hm.clock.Now() >= m.Health.QuarantinedUntil {
-		m.Health.QuarantinedUntil = 0
+	if m.Health.QuarantinedUntil == 0 {
+		return
+	}
+	if hm.clock.Now() >= m.Health.QuarantinedUntil || hm.probeSucceeds(m) {
+		m.Health.EndQuarantine()
 		hm.rounds.MarkDue()
 	}
 }
 
+// probeSucceeds reports whether the probe of a machine that was quarantined for failures has run for probeRunTime.
+func (hm *healthMonitor) probeSucceeds(m *cluster.Machine) bool {
+	probe := m.Health.Probe
+	if probe == nil || !probe.Current() || !m.Health.QuarantinedForFailures || probe.Run.Phase != wire.TaskRunning {
+		return false
+	}
+	return hm.clock.Now() >= probe.Run.PhaseSince.Add(probeRunTime)
+}
+
 // requestHeartbeat queues the machine for a heartbeat request if command dispatch needs one.
 func (hm *healthMonitor) requestHeartbeat(m *cluster.Machine) {
 	if hm.commands.needsHeartbeatRequest(m) {
--- a/scheduler/liveness.go
+++ b/scheduler/liveness.go
@@ -65,6 +65,16 @@
 	return l.usable(m) && l.clock.Now() >= m.Health.QuarantinedUntil && !l.leaders.mayTerminate(m)
 }
 
+// mayBeProbed reports whether a machine is quarantined, but usable otherwise, and a probe may start there: none runs,
+// and the time after the last one has passed.
+func (l *machineLiveness) mayBeProbed(m *cluster.Machine) bool {
+	now, health := l.clock.Now(), &m.Health
+	if now >= health.QuarantinedUntil || now < health.ProbeAt || !l.usable(m) || l.leaders.mayTerminate(m) {
+		return false
+	}
+	return health.Probe == nil || !health.Probe.Current()
+}
+
 // provenAlive reports whether it is certain that a machine's heartbeats are not all delayed
 // messages. A previous leader may have terminated any machine that was not provisioned in this term.
 // Only an answered call, or a fencing token of this leader, proves that such a machine exists.
--- a/scheduler/quota_check.go
+++ b/scheduler/quota_check.go
@@ -30,6 +30,9 @@
 	// takesTasks reports whether new tasks may be placed on a machine, which requires that it is
 	// usable and not quarantined.
 	takesTasks(m *cluster.Machine) bool
+	// mayBeProbed reports whether the machine is quarantined, but usable otherwise, and may get a task that
+	// finds out whether it works.
+	mayBeProbed(m *cluster.Machine) bool
 }
 
 // updateSurplus sets the cohort quota to the resources of the usable machines beyond the sum of the
--- a/scheduler/task_lifecycle.go
+++ b/scheduler/task_lifecycle.go
@@ -21,7 +21,7 @@
 	zones     taskEndObserver
 	estimates runRecorder
 	slowness  runTimeComparer
-	failures  successRecorder
+	failures  outcomeRecorder
 	leaders   cancellationObserver
 	// lostWork holds the work of stopped and lost tasks by stop reason.
 	lostWork [cluster.StopDrained + 1]lostWorkCount
@@ -55,9 +55,10 @@
 	compareRunTimes(a *cluster.Assignment)
 }
 
-// successRecorder records that a task succeeded.
-type successRecorder interface {
+// outcomeRecorder records that a task succeeded, or that its job was cancelled.
+type outcomeRecorder interface {
 	recordSuccess(a *cluster.Assignment)
+	jobCancelled(j *cluster.Job)
 }
 
 // lostWorkCount holds the number of tasks that were removed from machines before they were done,
@@ -139,6 +140,7 @@
 	l.cluster.EndJob(j, status)
 	l.records.discardUnwritten(j)
 	l.leaders.recordCancelled(j)
+	l.failures.jobCancelled(j)
 	for _, a := range j.Assignments() {
 		l.stop(a, cluster.StopCancelled)
 	}
