faulttest: controllers listen on addresses of their own

Cause: the harness took a free port of 127.0.0.1 and closed it again. The port is in the range from which outgoing connections of all processes on the machine take theirs, on the same address.

Change: each address has a random IP of 127.0.0.0/8, which no outgoing connection uses as its source. No check is changed.

The lost race itself was seen once and was not provoked again.

--- a/internal/faulttest/deployment.go
+++ b/internal/faulttest/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"strings"
@@ -103,9 +104,12 @@
 	return nil
 }
 
-// freeAddress returns a loopback address on which nothing listens.
+// freeAddress returns a loopback address on which nothing listens. Its IP address is a random one of
+// 127.0.0.0/8, not 127.0.0.1: outgoing connections of all processes take their ports on 127.0.0.1, and
+// could take this one before the controller listens on it, or between its restarts.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.%d", randomOctet(), randomOctet(), randomOctet())
+	listener, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", err
 	}
@@ -113,6 +117,11 @@
 	return listener.Addr().String(), nil
 }
 
+// randomOctet returns a random part of an IPv4 address, from 1 to 254.
+func randomOctet() int {
+	return 1 + rand.IntN(254)
+}
+
 // apiAddresses returns the addresses on which the controllers serve users and workers.
 func (d *Deployment) apiAddresses() []string {
 	var addresses []string
