Build the key of machine types in one place

Cause: the planner of the fleet, the search's requests and the waiting groups each joined the names of a job's machine types with zero bytes, the search by concatenation in the path of every attempt.

Change: placement.TypesKey serves all three. The keys are the same bytes as before.

--- a/scheduler/fleet/bins.go
+++ b/scheduler/fleet/bins.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"strings"
-
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/scheduler/placement"
 )
@@ -43,17 +41,12 @@
 	need  placement.Resources
 	spot  bool
 	zone  ids.Zone
-	types string // names, each terminated by a zero byte
+	types string // see placement.TypesKey
 }
 
 // requirementsOf returns the requirements of a job's tasks.
 func requirementsOf(d Demand) requirements {
-	var types strings.Builder
-	for _, name := range d.Spec.Types {
-		types.WriteString(string(name))
-		types.WriteByte(0)
-	}
-	return requirements{d.Need, d.Spec.Spot, d.Spec.Zone, types.String()}
+	return requirements{d.Need, d.Spec.Spot, d.Spec.Zone, placement.TypesKey(d.Spec)}
 }
 
 // maxTasksThatFit is the result of TasksThatFit for tasks that need no resources.
--- a/scheduler/placement/placement.go
+++ b/scheduler/placement/placement.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"ospreystile.example/ospreystile/ids"
 	"ospreystile.example/ospreystile/wire"
@@ -51,6 +52,17 @@
 	return len(s.Types) == 0 || slices.Contains(s.Types, name)
 }
 
+// TypesKey returns a string that is equal for two jobs if and only if both list the same machine types in the same
+// order: the names, each ended by a zero byte.
+func TypesKey(s *wire.JobSpec) string {
+	var key strings.Builder
+	for _, name := range s.Types {
+		key.WriteString(string(name))
+		key.WriteByte(0)
+	}
+	return key.String()
+}
+
 // Fits reports whether the job may use a machine type, and a task of the job fits on an empty machine
 // of that type.
 func Fits(s *wire.JobSpec, t *wire.MachineType) bool {
--- a/scheduler/search.go
+++ b/scheduler/search.go
@@ -23,7 +23,7 @@
 	allowedZones  uint64             // bit set of the zones in which the spread of the job allows a task
 	gate          zoneAdmissionClass // properties that the admission of recovering zones depends on
 	tasksTogether int                // number of tasks that must be placed at once; 0: task by task
-	types         string             // names of the allowed machine types, each ended by a zero byte
+	types         string             // see placement.TypesKey
 }
 
 // searcher creates searches for machines and scores machines for tasks. The only state that it
@@ -55,10 +55,8 @@
 		// alone, so an equal request of another job may have a different result.
 		return placementRequest{}, false
 	}
-	request = placementRequest{resources: j.TaskResources(), priority: j.Priority(), spot: spec.Spot, zone: spec.Zone}
-	for _, name := range spec.Types {
-		request.types += string(name) + "\x00"
-	}
+	request = placementRequest{resources: j.TaskResources(), priority: j.Priority(), spot: spec.Spot, zone: spec.Zone,
+		types: placement.TypesKey(spec)}
 	if s.needsImage(j) {
 		request.image = spec.Image
 	}
--- a/scheduler/waiting_groups.go
+++ b/scheduler/waiting_groups.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"ospreystile.example/ospreystile/ids"
@@ -232,11 +231,6 @@
 // waitingGroupKeyOf returns the key of a job.
 func waitingGroupKeyOf(j *cluster.Job) waitingGroupKey {
 	spec := j.Spec
-	var types strings.Builder
-	for _, name := range spec.Types {
-		types.WriteString(string(name))
-		types.WriteByte(0)
-	}
 	return waitingGroupKey{team: spec.Team, class: spec.Class, priority: j.Priority(), resources: j.TaskResources(), tasks: len(j.Pending()),
-		spot: spec.Spot, zone: spec.Zone, image: spec.Image, types: types.String(), estimateS: spec.EstimateS}
+		spot: spec.Spot, zone: spec.Zone, image: spec.Image, types: placement.TypesKey(spec), estimateS: spec.EstimateS}
 }
